--- /dev/null
+++ b/orchidlane/__init__.py
@@ -0,0 +1,1 @@
+"""orchidlane: the decisions of a quota-keeping gateway for a shared API."""
--- /dev/null
+++ b/orchidlane/rules.py
@@ -0,0 +1,637 @@
+"""All decisions of a gateway; its types, events and actions are in ``orchidlane/interface.py``.
+
+A request's life: arrived -> admitted by its customer's counts -> sent to the server that should answer soonest ->
+outcome -> perhaps another attempt -> exactly one final answer. Every send passes ``_send``, every answer of ours
+passes ``_end``. Quotas are grow-only counts by gateway that gossip spreads; see docs/design.md.
+"""
+
+from __future__ import annotations
+
+import math
+import random
+from dataclasses import dataclass, field
+
+from . import interface as api
+from . import messages
+from .interface import Effect, Group, ListKind, Outcome, Phase
+
+MS, SECOND = 1_000, 1_000_000  # microseconds
+
+# Gossip
+INTAKE_SHARE = 0.8  # of a peer's intake that all senders together may fill: the rest is for jitter
+INTERVAL_LEAST = 30 * MS  # between two gossip turns: below it messages say little more
+INTERVAL_MOST = 100 * MS  # above it two gateways often grant the same units
+SILENT_AFTER = 10  # mean gossip gaps of one peer without a word: rarely chance, soon enough for a cut
+RECOVER_FOR = 1_500 * MS  # a new gateway waits so long for its peers' counts before it tells its own
+LOOK_AT = 48  # changed customers looked at for one message, to bound the work
+IDLE_LOOK = 16  # customers looked at in a turn for being idle and full
+FUTURE_MOST = 1_000  # ms that a peer's clock may be ahead before its message is not believed
+TIGHT = 0.5  # of the burst: with less room than this a customer's counts leave at once
+
+# Servers
+BASE = 2.0  # requests a server is taken to hold besides those known: keeps first guesses level
+START_OF_AIM = 0.25  # of the aim that an idle server is first thought to need
+LEARN = 0.15  # weight of the newest answer time
+FORGET = 6 * SECOND  # after this a slow server's mark has faded to a third: gentle return
+FAIL_WEIGHT = 3.0  # an attempt that failed makes a server look this much slower
+FAIL_MOST = 4.0  # failures remembered at most
+CHOICES = 12  # servers compared for one request
+SPREAD = 0.1  # random part of a comparison, against herding of gateways
+COLD_CARE = 0.9  # of the fair share of a cold server's least capacity that is used
+RATE_OVER = 4 * SECOND  # over which the send rate is averaged
+
+# Attempts
+LEAVE = 30 * MS  # before the client's time is up, a held request is ended
+HOLD = 20 * MS  # between two looks at a request that has no server
+COPY_AFTER = 0.4  # of the aim without an answer: a second copy may pay
+COPY_BUDGET = 0.05  # further attempts earned by each request: no retry storms
+COPY_MOST = 5.0  # further attempts saved up
+SHED_LOW, SHED_HIGH = 0.5, 0.9  # of the aim: the expected answer time beyond which cheapest / dearest is refused
+TURN = 0  # the token of the gossip timer; a request's timer has its id + 1
+
+
+@dataclass(slots=True)
+class Account:
+    """What is known of one customer: counts by rank as (start in ms, value), limit, and what is held back."""
+
+    plan: int
+    first: int
+    size: int
+    limit: float
+    risen: int
+    counts: dict[int, tuple[int, float]] = field(default_factory=dict)
+    held: float = 0.0  # what unheard gateways may have spent
+    unheard: float = 0.0  # their part of the set
+    adopted: float = 0.0  # of an earlier life's count taken into our own
+    out: int = 0
+    peers_out: dict[int, tuple[int, int]] = field(default_factory=dict)
+    approvals: list[int] = field(default_factory=list)
+    ceiling: float = 0.0
+
+    def used(self) -> float:
+        return sum(value for _, value in self.counts.values())
+
+
+@dataclass(slots=True)
+class Host:
+    """A server: what discovery says and what requests met."""
+
+    entry: api.ServerEntry
+    slow: float = 1.0
+    fails: float = 0.0
+    seen: int = 0
+    out: int = 0
+    active: int = 0  # last answer, or when the first of those out was sent
+    reported: float = 0.0
+    credit: float = 0.0  # sends that its cold start allows
+    credited: int = 0
+
+
+@dataclass(slots=True)
+class Attempt:
+    """One send; ran means that it may have run."""
+
+    host: Host
+    sent: int
+    load: float
+    out: bool = True
+    ran: bool = True
+
+
+@dataclass(slots=True)
+class Request:
+    """A request that is owed an answer."""
+
+    event: api.RequestArrived
+    cls: api.RequestClass
+    account: Account
+    until: int
+    attempts: list[Attempt] = field(default_factory=list)
+
+
+@dataclass(slots=True)
+class Peer:
+    """Another gateway: when it was heard, what it has to be told."""
+
+    heard: int = 0
+    birth: int = -1
+    told: int = 0
+    synced: bool = False
+    allowance: float = 1.0
+    filled: int = 0
+    pending: dict[int, int] = field(default_factory=dict)  # customer -> bits of the changed counts
+
+
+class Gateway:
+    """One gateway's decisions: feed events with the clock, carry out the actions."""
+
+    def __init__(self, settings: api.Settings, seed: int, now: int) -> None:
+        self.s, self.random, self.now = settings, random.Random(seed), now
+        self.birth, self.rank = now, settings.rank
+        self.accounts: dict[int, Account] = {}
+        self.idle_queue: list[int] = []
+        self.hosts: dict[api.Server, Host] = {}
+        self.ready: list[Host] = []
+        self.requests: dict[int, Request] = {}
+        self.attempts: dict[tuple[int, int], tuple[Attempt, int, Account]] = {}
+        self.units = [START_OF_AIM * c.aim / BASE for c in settings.classes]
+        self.dearest = 0.0
+        self.budget = COPY_MOST
+        self.send_rate, self.rate_at = 0.0, now
+        peers = [r for r in range(settings.gateways) if r != self.rank] if settings.may_tell_peers else []
+        self.peers = {r: Peer(heard=now - 60 * SECOND, told=now, filled=now) for r in peers}
+        self.per_peer = INTAKE_SHARE * settings.peer_intake / max(1, settings.gateways - 1)
+        fair = SECOND / max(self.per_peer * max(1, len(peers)), 0.1)
+        self.interval = int(max(INTERVAL_LEAST, min(INTERVAL_MOST, fair)))
+        self.silent_after = SILENT_AFTER * self.interval * max(1, len(peers))
+        self.actions: list[api.Action] = []
+
+    def start(self) -> list[api.Action]:
+        self.actions = [api.SetTimer(self.interval, TURN)]
+        if self.s.asks_for_list:
+            self.actions.append(api.AskList())
+        return self.actions
+
+    def handle(self, now: int, event: api.Event) -> list[api.Action]:
+        self.now, self.actions = now, []
+        match event:
+            case api.RequestArrived():
+                self._arrived(event)
+            case api.AttemptEnded():
+                self._ended(event)
+            case api.TimerFired():
+                self._timer(event.token)
+            case api.PeerMessage():
+                self._peer_said(event)
+            case api.ServerListed():
+                self._listed(event)
+            case api.ClientGone():
+                if request := self.requests.get(event.request):
+                    self._drop(request)
+            case api.StreamStarted():
+                self.requests.pop(event.request, None)
+        return self.actions
+
+    # -- a request arrives, is admitted, and is sent ------------------------------------------------------
+
+    def _arrived(self, event: api.RequestArrived) -> None:
+        account = self._account(event.customer, event.plan, event.set_first, event.set_size)
+        cls = self.s.classes[event.kind]
+        request = Request(event, cls, account, self.now + event.time_left)
+        self.requests[event.request] = request
+        self.budget = min(COPY_MOST, self.budget + COPY_BUDGET)
+        self._advance(request)
+
+    def _advance(self, request: Request) -> None:
+        """The next step of a request that is owed an answer."""
+        out = [a for a in request.attempts if a.out]
+        last_call = request.until - LEAVE
+        if not out and (self.now >= last_call or len(request.attempts) >= self.s.max_attempts):
+            return self._end(request)
+        first = not request.attempts
+        if first and not self._admits(request):
+            return self._end(request)
+        host = self._choose(request)
+        if host is None:
+            if not out:
+                self._look_again(request, min(HOLD, last_call - self.now))
+            return None
+        expected = self._expected(host, request.event.kind)
+        if first and expected > self._patience(request):
+            return self._end(request)
+        return self._send(request, host)
+
+    def _admits(self, request: Request) -> bool:
+        """Quota, open cap and ceiling: the ordinary path of every first send."""
+        event, account = request.event, request.account
+        plan = self.s.plans[account.plan]
+        self._lift(account)
+        if plan.ceiling_rate and account.ceiling < event.units:
+            return False
+        if plan.open:
+            fresh = self.now - self.silent_after // 4
+            others = sum(n for n, at in account.peers_out.values() if at >= fresh)
+            if account.out + others >= plan.open:
+                return False
+        if not plan.rate:
+            return True
+        room = account.limit - account.used()
+        if self.rank not in account.counts:  # a new customer gets one request at least
+            return room >= event.units
+        return room - account.held >= event.units
+
+    def _patience(self, request: Request) -> float:
+        """The longest expected answer time at which a request is let in: longer the more its work earns."""
+        event = request.event
+        earns = request.cls.worth * self.s.plans[event.plan].price * event.units / self.units[event.kind]
+        self.dearest = max(self.dearest * 0.999, earns)
+        share = SHED_LOW + (SHED_HIGH - SHED_LOW) * earns / self.dearest
+        return share * min(request.cls.aim, event.time_left)
+
+    def _choose(self, request: Request) -> Host | None:
+        """The server that should answer soonest among those that the rules allow for this request."""
+        hosts = self.ready
+        if len(hosts) > CHOICES:
+            hosts = self.random.sample(hosts, CHOICES)
+        best, best_cost = None, math.inf
+        for host in hosts:
+            if not self._may_send(request, host):
+                continue
+            cost = self._expected(host, request.event.kind) * (1 + SPREAD * self.random.random())
+            if host.entry.zone != self.s.zone:
+                cost *= 1 + 4 * self.s.cross_zone_charge
+            if any(a.host is host for a in request.attempts):
+                cost *= 1 + FAIL_WEIGHT
+            if cost < best_cost:
+                best, best_cost = host, cost
+        return best
+
+    def _may_send(self, request: Request, host: Host) -> bool:
+        """Rules 2, 3 and 4 for one send."""
+        if host.entry.phase is not Phase.READY or not self._cold_allows(host):
+            return False
+        ran = [a for a in request.attempts if a.ran]
+        if not ran:
+            return True
+        cls = request.cls
+        if any(a.out for a in ran) and (not self.s.may_copy or any(a.out and a.host is host for a in ran)):
+            return False
+        if cls.effect is Effect.SAFE:
+            return True
+        if cls.effect is Effect.UNSAFE or self.now >= ran[0].sent + cls.window - LEAVE:
+            return False
+        one = ran[0].host.entry
+        match cls.group:
+            case Group.ALL:
+                return True
+            case Group.ZONE:
+                return host.entry.zone == one.zone
+        return host.entry.cell == one.cell
+
+    def _cold_allows(self, host: Host) -> bool:
+        """Rule 4: a cold server gets what its least capacity allows of a warm one's share of our sends."""
+        age = self.now - host.entry.launched
+        if not host.entry.launched or age >= self.s.warm_within:
+            return True
+        ramp = self.s.cold_from + (1 - self.s.cold_from) * max(0, age) / self.s.warm_within
+        rate = COLD_CARE * ramp * self._rate() / len(self.ready)
+        host.credit = min(1.0, host.credit + rate * (self.now - host.credited) / SECOND)
+        host.credited = self.now
+        return host.credit >= 1.0
+
+    def _rate(self) -> float:
+        """Our sends a second, averaged."""
+        span = self.now - self.rate_at
+        if span > 0:
+            self.send_rate *= math.exp(-span / RATE_OVER)
+            self.rate_at = self.now
+        return self.send_rate * SECOND / RATE_OVER
+
+    def _send(self, request: Request, host: Host) -> None:
+        """Every send passes here."""
+        event, account = request.event, request.account
+        if not request.attempts:
+            self._spend(event.customer, account, event.units)
+        self._rate()
+        self.send_rate += 1
+        host.credit -= 1
+        if not host.out:
+            host.active = self.now
+        attempt = Attempt(host, self.now, self._load(host))
+        host.out += 1
+        account.out += 1
+        self.attempts[event.request, len(request.attempts)] = attempt, event.kind, account
+        request.attempts.append(attempt)
+        self.actions.append(api.Send(event.request, host.entry.server, request.until))
+        if request.cls.effect is not Effect.UNSAFE and self.s.may_copy:
+            self._look_again(request, int(COPY_AFTER * request.cls.aim))
+
+    def _look_again(self, request: Request, span: int) -> None:
+        self.actions.append(api.SetTimer(max(1, span), request.event.request + 1))
+
+    # -- what becomes of it -------------------------------------------------------------------------------
+
+    def _ended(self, event: api.AttemptEnded) -> None:
+        known = self.attempts.pop((event.request, event.attempt), None)
+        if known is None:
+            return
+        attempt, kind, account = known
+        self._learn(attempt, kind, event)
+        attempt.out = False
+        attempt.ran = event.outcome not in (Outcome.FULL, Outcome.NOT_CONNECTED, Outcome.NEVER_SENT)
+        account.out -= 1
+        request = self.requests.get(event.request)
+        if request is None:
+            return
+        if event.answered:
+            self._drop(request)
+        elif not any(a.out for a in request.attempts):
+            if self._may_repeat(request):
+                self._advance(request)
+            else:
+                self._end(request)
+
+    def _may_repeat(self, request: Request) -> bool:
+        """A retry budget, so that failures do not multiply the load; attempts that never ran are free."""
+        if request.cls.effect is Effect.UNSAFE and any(a.ran for a in request.attempts):
+            return False
+        if not request.attempts[-1].ran:
+            return True
+        if self.budget < 1:
+            return False
+        self.budget -= 1
+        return True
+
+    def _end(self, request: Request) -> None:
+        """Every final answer of ours passes here: refuse where a retry is harmless, else fail."""
+        cls = request.cls
+        ran = any(a.ran for a in request.attempts)
+        harmless = not ran or cls.effect is Effect.SAFE or (cls.effect is Effect.KEYED and cls.group is Group.ALL)
+        if harmless:
+            self.actions.append(api.Refuse(request.event.request, 0))
+        else:
+            self.actions.append(api.Fail(request.event.request))
+        self._drop(request)
+
+    def _drop(self, request: Request) -> None:
+        """Nothing more is owed: forget the request and call off what is still out."""
+        self.requests.pop(request.event.request, None)
+        if self.s.may_cancel:
+            for number, attempt in enumerate(request.attempts):
+                if attempt.out:
+                    self.actions.append(api.Cancel(request.event.request, number))
+
+    def _timer(self, token: int) -> None:
+        if token == TURN:
+            return self._turn()
+        request = self.requests.get(token - 1)
+        if request is None:
+            return None
+        out = [a for a in request.attempts if a.out]
+        if not out:
+            return self._advance(request)
+        # A second copy, where the first one's server has answered nobody since: it stalls or died.
+        if len(out) == 1 and out[0].host.active <= out[0].sent and self.budget >= 1:
+            if len(request.attempts) < self.s.max_attempts and self.now < request.until - LEAVE:
+                self.budget -= 1
+                self._advance(request)
+        return None
+
+    # -- servers ------------------------------------------------------------------------------------------
+
+    def _listed(self, event: api.ServerListed) -> None:
+        if event.kind is ListKind.FAILED:
+            return
+        told = {}
+        for entry in event.entries:
+            told[entry.server] = entry
+            host = self.hosts.get(entry.server)
+            if host is None:
+                self.hosts[entry.server] = Host(entry, seen=self.now, credited=self.now)
+                continue
+            if entry.launched > host.entry.launched:
+                host.slow, host.fails, host.credit, host.credited = 1.0, 0.0, 0.0, self.now
+            host.entry = entry
+        ready = []
+        for server in sorted(self.hosts):
+            host = self.hosts[server]
+            if event.kind is not ListKind.CHANGES and server not in told:
+                e = host.entry
+                host.entry = api.ServerEntry(server, Phase.GONE, e.zone, e.cell, e.launched, e.size)
+            if host.entry.phase is Phase.READY:
+                ready.append(host)
+        self.ready = ready
+
+    def _load(self, host: Host) -> float:
+        return max(host.out, host.reported) + BASE
+
+    def _expected(self, host: Host, kind: int) -> float:
+        """The expected answer time: what requests met there, what is out there, and how long it has been quiet."""
+        fade = math.exp((host.seen - self.now) / FORGET)
+        slow = 1 + (host.slow - 1) * fade
+        time = self.units[kind] * slow * self._load(host) * (1 + FAIL_WEIGHT * host.fails * fade)
+        if host.out:  # guards against a stalling or dead server: it answers nobody
+            time = max(time, self.now - host.active)
+        return time
+
+    def _learn(self, attempt: Attempt, kind: int, event: api.AttemptEnded) -> None:
+        host = attempt.host
+        host.out -= 1
+        fade = math.exp((host.seen - self.now) / FORGET)
+        host.slow, host.fails = 1 + (host.slow - 1) * fade, host.fails * fade
+        host.seen = self.now
+        if event.outcome in (Outcome.SERVED, Outcome.ERROR, Outcome.FULL):
+            host.active = self.now
+        if event.outcome in (Outcome.SERVED, Outcome.TIMED_OUT):
+            unit = event.took / attempt.load
+            host.slow += LEARN * (unit / self.units[kind] - host.slow)
+            self.units[kind] += LEARN / 4 * (unit - self.units[kind])
+        if event.outcome is Outcome.SERVED:
+            host.fails /= 2
+        elif event.outcome not in (Outcome.CANCELLED, Outcome.NEVER_SENT):
+            host.fails = min(FAIL_MOST, host.fails + 1)
+
+    # -- counts -------------------------------------------------------------------------------------------
+
+    def _account(self, customer: int, plan: int, first: int, size: int) -> Account:
+        account = self.accounts.get(customer)
+        if account is None:
+            account = Account(plan, first, max(1, size), self.s.plans[plan].burst, self.now)
+            account.ceiling = self._ceiling_share(account, self.now - self.birth)
+            self.accounts[customer] = account
+            self.idle_queue.append(customer)
+        return account
+
+    def _ceiling_share(self, account: Account, span: int, has: float = 0.0) -> float:
+        """Rule 5: each gateway alone fills its share of the ceiling's store, from nothing at its start."""
+        plan = self.s.plans[account.plan]
+        most = plan.ceiling_burst / account.size
+        return min(most, has + plan.ceiling_rate / account.size * span / SECOND)
+
+    def _unheard(self, account: Account) -> float:
+        """The part of the set that has not been heard lately, or not yet since it or we started."""
+        gateways, lost = self.s.gateways, 0
+        for step in range(min(account.size, gateways)):
+            rank = (account.first + step) % gateways
+            peer = self.peers.get(rank)
+            if rank != self.rank and (peer is None or not peer.synced or self._silent(peer)):
+                lost += 1
+        return lost / account.size
+
+    def _silent(self, peer: Peer) -> bool:
+        return self.now - peer.heard > self.silent_after
+
+    def _lift(self, account: Account) -> None:
+        """Raise the limit by the time gone; room stays within the burst; unheard gateways' spending is held back."""
+        plan, span = self.s.plans[account.plan], self.now - account.risen
+        account.risen = self.now
+        account.ceiling = self._ceiling_share(account, span, account.ceiling)
+        used = account.used()
+        account.limit += plan.rate * span / SECOND
+        unheard = self._unheard(account)
+        if unheard and not account.unheard:
+            account.held = unheard * max(0.0, min(plan.burst, account.limit - used))
+        elif unheard:
+            account.held += unheard * plan.rate * span / SECOND
+        else:
+            account.held = 0.0
+        account.unheard = unheard
+        most = used + account.held + plan.burst * (1 - unheard)
+        # Debt: what went beyond the quota took nothing from the true store, so the limit never lies below.
+        account.limit = min(max(account.limit, used), max(used, most))
+
+    def _spend(self, customer: int, account: Account, units: float) -> None:
+        plan = self.s.plans[account.plan]
+        start, value = account.counts.get(self.rank, (self.now // MS, 0.0))
+        account.counts[self.rank] = start, value + units
+        account.ceiling -= units
+        account.approvals = [*account.approvals[-1:], self.now]
+        room = account.limit - account.used()
+        gap = self.now - account.approvals[0]
+        fast = len(account.approvals) > 1 and gap * plan.rate < units * SECOND
+        self._changed(customer, account, 1 << self.rank, None)
+        if fast or room < TIGHT * plan.burst or plan.open:
+            for rank in self._set_peers(account):
+                self._tell(rank)
+
+    def _set_peers(self, account: Account) -> list[int]:
+        gateways = self.s.gateways
+        ranks = [(account.first + i) % gateways for i in range(min(account.size, gateways))]
+        return [r for r in ranks if r in self.peers]
+
+    def _changed(self, customer: int, account: Account, bits: int, teller: int | None) -> None:
+        for rank in self._set_peers(account):
+            if rank != teller:
+                pending = self.peers[rank].pending
+                pending[customer] = pending.get(customer, 0) | bits
+
+    # -- gossip -------------------------------------------------------------------------------------------
+
+    def _turn(self) -> None:
+        self.actions.append(api.SetTimer(self.interval, TURN))
+        if self.peers:
+            oldest = min(p.told for p in self.peers.values())
+            late = [r for r, p in self.peers.items() if p.told <= oldest + self.interval]
+            self._tell(self.random.choice(late))
+        self._drop_idle()
+
+    def _tell(self, rank: int) -> None:
+        """One message of the most pressing changes, where the peer's intake allows it."""
+        peer = self.peers[rank]
+        peer.allowance = min(2.0, peer.allowance + self.per_peer * (self.now - peer.filled) / SECOND)
+        peer.filled = self.now
+        if peer.allowance < 1:
+            return
+        peer.allowance -= 1
+        peer.told = self.now
+        sent, birth = self.now // MS, self.birth // MS
+        rows: list[bytes] = []
+        room = messages.SIZE_MOST - messages.HEAD_MOST
+        # A new gateway's counts would replace those of its earlier life at its peers: first it hears them.
+        waiting = not all(p.synced or self._silent(p) for p in self.peers.values())
+        if not waiting or self.now - self.birth > RECOVER_FOR:
+            for customer in self._pressing(peer):
+                row = self._row(customer, peer.pending[customer], sent)
+                if row is not None and len(row) > room:
+                    break
+                del peer.pending[customer]
+                if row is not None:
+                    room -= len(row)
+                    rows.append(row)
+        caught_up = peer.birth >= 0 and not peer.pending
+        body = messages.pack_head(sent, birth, caught_up) + b"".join(rows)
+        self.actions.append(api.TellPeer(rank, body))
+
+    def _pressing(self, peer: Peer) -> list[int]:
+        some = []
+        for customer in peer.pending:
+            some.append(customer)
+            if len(some) == LOOK_AT:
+                break
+
+        def room(customer: int) -> float:
+            account = self.accounts.get(customer)
+            if account is None:
+                return math.inf
+            return (account.limit - account.used()) / max(self.s.plans[account.plan].burst, 1e-9)
+
+        return sorted(some, key=room)
+
+    def _row(self, customer: int, bits: int, sent: int) -> bytes | None:
+        account = self.accounts.get(customer)
+        if account is None:
+            return None
+        self._lift(account)
+        counts = tuple((r, *account.counts[r]) for r in sorted(account.counts) if bits >> r & 1)
+        limit = max(0.0, account.limit - account.held)
+        out = account.out
+        row = messages.Row(customer, account.plan, account.first, account.size, out, limit, counts)
+        return messages.pack_row(row, sent)
+
+    def _peer_said(self, event: api.PeerMessage) -> None:
+        peer, message = self.peers.get(event.sender), messages.unpack(event.body)
+        now = self.now // MS
+        if peer is None or message is None or message.sent > now + FUTURE_MOST or message.birth < peer.birth:
+            return
+        anew = message.birth > peer.birth or self._silent(peer)
+        peer.heard, peer.birth = self.now, message.birth
+        if anew:  # it has started, or was cut off: it has to be told everything that its set shares
+            peer.synced = False
+            for customer, account in self.accounts.items():
+                if event.sender in self._set_peers(account):
+                    peer.pending[customer] = -1
+        for row in message.rows:
+            self._merge(row, event.sender, message.sent)
+        if message.caught_up:
+            peer.synced = True
+
+    def _merge(self, row: messages.Row, teller: int, sent: int) -> None:
+        """Newer start, then larger value; the larger limit."""
+        gateways = self.s.gateways
+        if row.plan >= len(self.s.plans) or not 1 <= row.set_size or row.set_first >= gateways:
+            return
+        now = self.now // MS
+        if any(rank >= gateways or start > now + FUTURE_MOST for rank, start, _ in row.counts):
+            return
+        plan = self.s.plans[row.plan]
+        account = self._account(row.customer, row.plan, row.set_first, row.set_size)
+        if account.plan != row.plan:
+            return
+        self._lift(account)
+        bits = 0
+        for rank, start, value in row.counts:
+            if rank == self.rank:
+                bits |= self._adopt(account, start, value)
+            elif (start, value) > account.counts.get(rank, (-1, 0.0)):
+                account.counts[rank] = start, value
+                bits |= 1 << rank
+        account.peers_out[teller] = row.out, self.now
+        limit = row.limit + plan.rate * max(0, now - sent) / 1000
+        account.limit = max(account.limit, limit + account.held)
+        self._lift(account)
+        if bits:
+            self._changed(row.customer, account, bits, teller)
+
+    def _adopt(self, account: Account, start: int, value: float) -> int:
+        """Guards against a restart's fresh allowance: our earlier life's count goes on under our new start."""
+        mine = account.counts.get(self.rank)
+        if mine is None:
+            mine = (self.now // MS, 0.0)
+        if start >= mine[0] or value <= account.adopted:
+            return 0
+        account.counts[self.rank] = mine[0], mine[1] + value - account.adopted
+        account.adopted = value
+        return 1 << self.rank
+
+    def _drop_idle(self) -> None:
+        """Full and idle accounts say nothing: forget a few each turn, so that one-off customers cost no memory."""
+        for _ in range(min(IDLE_LOOK, len(self.idle_queue))):
+            customer = self.idle_queue.pop()
+            account = self.accounts[customer]
+            plan = self.s.plans[account.plan]
+            self._lift(account)
+            full = account.limit - account.used() >= plan.burst and not account.held and not account.out
+            if full and account.ceiling >= plan.ceiling_burst / account.size:
+                del self.accounts[customer]
+            else:
+                self.idle_queue.insert(0, customer)
--- /dev/null
+++ b/orchidlane/wire.py
@@ -0,0 +1,325 @@
+"""Codec of the binary wire: bytes to our events, our actions to bytes. It decides nothing."""
+
+from __future__ import annotations
+
+import json
+import struct
+from dataclasses import dataclass, field
+
+from . import interface as api
+
+HEADER = struct.Struct("<IIQ")
+REPLY_HEADER = struct.Struct("<II")
+EVENT_SIZE = 48
+ACTION_SIZE = 24
+ENTRY = struct.Struct("<fB6sBQBH")
+
+_INIT = struct.Struct("<HQII")
+_LIST = struct.Struct("<HII")
+_LIST_NEWS = struct.Struct("<HBHQ")
+_REQUEST = struct.Struct("<HIBHQIfffH")
+_GATEWAY = struct.Struct("<H")
+_PROBED = struct.Struct("<HIH6sB4f")
+_CALL = struct.Struct("<HI")
+_COUNTED = struct.Struct("<HfIHQ")
+_PEER = struct.Struct("<HHII")
+_STREAM = struct.Struct("<HIH6sI")
+_TIMER = struct.Struct("<HQ")
+_OUTCOME = struct.Struct("<HIH6sHIBHHB4f")
+
+_SEND = struct.Struct("<BHI6sQ")
+_CANCEL = struct.Struct("<BHIH")
+_SERVER_ONLY = struct.Struct("<BH6s")
+_BARE = struct.Struct("<BH")
+_SET_TIMER = struct.Struct("<BHIQ")
+_TEXT = struct.Struct("<BHII")
+_FINAL = struct.Struct("<BHI")
+_TELL = struct.Struct("<BHHII")
+_WATCH = struct.Struct("<BHB")
+_REFUSE = struct.Struct("<BHII")
+
+BIT_REPEAT = 2
+
+OUTCOMES = {
+    100: api.Outcome.SERVED,
+    301: api.Outcome.ERROR,
+    302: api.Outcome.FULL,
+    303: api.Outcome.TIMED_OUT,
+    304: api.Outcome.NOT_CONNECTED,
+    305: api.Outcome.BROKEN,
+    306: api.Outcome.CANCELLED,
+    307: api.Outcome.NEVER_SENT,
+}
+EFFECTS = {"repeatable": api.Effect.SAFE, "by_key": api.Effect.KEYED, "once": api.Effect.UNSAFE}
+REPORTS = {"inline": api.Reports.INLINE, "on_probe": api.Reports.ON_PROBE, "off": api.Reports.NONE}
+
+
+class WireError(Exception):
+    """What came in is not of this wire."""
+
+
+@dataclass(frozen=True, slots=True)
+class Start:
+    """A gateway comes up."""
+
+    settings: api.Settings
+    seed: int
+
+
+@dataclass(frozen=True, slots=True)
+class Stop:
+    """A gateway is gone without warning."""
+
+
+@dataclass(slots=True)
+class Decoder:
+    """Decodes frames; keeps the numbered server lists, which travel once for each process."""
+
+    lists: dict[int, tuple[api.ServerEntry, ...]] = field(default_factory=dict)
+
+    def frame(self, count: int, body: bytes) -> list[tuple[int, Start | Stop | api.Event]]:
+        """All events of one batch, each with its gateway's number."""
+        if len(body) < count * EVENT_SIZE:
+            raise WireError(f"frame of {len(body)} bytes is too short for {count} records")
+        tail = body[count * EVENT_SIZE :]
+        events = []
+        for i in range(count):
+            at = i * EVENT_SIZE
+            code = body[at]
+            reader = _READERS.get(code)
+            if reader is None:
+                raise WireError(f"unknown record code {code}")
+            event = reader(self, body, at + 1, tail)
+            if event is not None:
+                events.append(event)
+        return events
+
+
+def _cut(tail: bytes, offset: int, length: int) -> bytes:
+    if offset + length > len(tail):
+        raise WireError(f"offset {offset} with length {length} lies outside a tail of {len(tail)} bytes")
+    return tail[offset : offset + length]
+
+
+def _outcome(code: int) -> api.Outcome:
+    try:
+        return OUTCOMES[code]
+    except KeyError:
+        raise WireError(f"unknown outcome {code}") from None
+
+
+def _init(_: Decoder, body: bytes, at: int, tail: bytes):
+    gateway, seed, offset, length = _INIT.unpack_from(body, at)
+    return gateway, Start(parse_settings(_cut(tail, offset, length)), seed)
+
+
+def _roster(decoder: Decoder, body: bytes, at: int, tail: bytes) -> None:
+    number, offset, count = _LIST.unpack_from(body, at)
+    raw = _cut(tail, offset, count * ENTRY.size)
+    entries = []
+    for share, _kind, server, zone, launched, phase, cell in ENTRY.iter_unpack(raw):
+        if phase > 2:
+            raise WireError(f"unknown phase {phase}")
+        entries.append(api.ServerEntry(server, api.Phase(phase), zone, cell, launched, share))
+    decoder.lists[number] = tuple(entries)
+
+
+def _roster_change(decoder: Decoder, body: bytes, at: int, _: bytes):
+    gateway, kind, number, version = _LIST_NEWS.unpack_from(body, at)
+    if kind > 3:
+        raise WireError(f"unknown kind of list {kind}")
+    kind = api.ListKind(kind)
+    if kind is api.ListKind.FAILED:
+        return gateway, api.ServerListed(kind, version, ())
+    if number not in decoder.lists:
+        raise WireError(f"list {number} was never sent")
+    return gateway, api.ServerListed(kind, version, decoder.lists[number])
+
+
+def _order(_: Decoder, body: bytes, at: int, __: bytes):
+    gateway, request, kind, plan, customer, left, units, size, first, bits = _REQUEST.unpack_from(body, at)
+    return gateway, api.RequestArrived(
+        request, customer, plan, kind, units, left, int(first), int(size), bool(bits & BIT_REPEAT)
+    )
+
+
+def _teardown(_: Decoder, body: bytes, at: int, __: bytes):
+    return _GATEWAY.unpack_from(body, at)[0], Stop()
+
+
+def _probed(_: Decoder, body: bytes, at: int, __: bytes):
+    gateway, took, reason, server, n, *values = _PROBED.unpack_from(body, at)
+    return gateway, api.ProbeEnded(server, _outcome(reason), took, tuple(values[:n]))
+
+
+def _client_gone(_: Decoder, body: bytes, at: int, __: bytes):
+    gateway, request = _CALL.unpack_from(body, at)
+    return gateway, api.ClientGone(request)
+
+
+def _counted(_: Decoder, body: bytes, at: int, __: bytes):
+    gateway, value, took, reason, name = _COUNTED.unpack_from(body, at)
+    return gateway, api.CounterAnswered(name, _outcome(reason), value, took)
+
+
+def _neighbour(_: Decoder, body: bytes, at: int, tail: bytes):
+    gateway, sender, offset, length = _PEER.unpack_from(body, at)
+    return gateway, api.PeerMessage(sender, _cut(tail, offset, length))
+
+
+def _flowing(_: Decoder, body: bytes, at: int, __: bytes):
+    gateway, request, attempt, server, took = _STREAM.unpack_from(body, at)
+    return gateway, api.StreamStarted(request, attempt, server, took)
+
+
+def _bell(_: Decoder, body: bytes, at: int, __: bytes):
+    gateway, token = _TIMER.unpack_from(body, at)
+    return gateway, api.TimerFired(token)
+
+
+def _answer(_: Decoder, body: bytes, at: int, __: bytes):
+    gateway, request, attempt, server, reason, took, settled, use, cost, n, *values = _OUTCOME.unpack_from(body, at)
+    return gateway, api.AttemptEnded(
+        request, attempt, server, _outcome(reason), took, bool(settled), use, float(cost), tuple(values[:n])
+    )
+
+
+_READERS = {
+    1: _bell,
+    2: _neighbour,
+    3: _client_gone,
+    4: _flowing,
+    5: _order,
+    6: _answer,
+    7: _init,
+    8: _teardown,
+    9: _roster_change,
+    10: _counted,
+    11: _probed,
+    12: _roster,
+}
+
+
+def parse_settings(raw: bytes) -> api.Settings:
+    """The settings text as our own type; unknown keys are passed over, missing ones named."""
+    try:
+        s = json.loads(raw)
+    except ValueError:
+        raise WireError("settings are not JSON") from None
+    try:
+        return _settings(s)
+    except KeyError as missing:
+        raise WireError(f"settings lack the key {missing.args[0]!r}") from None
+    except (TypeError, ValueError, AttributeError) as wrong:
+        raise WireError(f"settings have a value of the wrong kind: {wrong}") from None
+
+
+def _settings(s: dict) -> api.Settings:
+    info, may, rules, charges, report = (
+        s["familyInfo"],
+        s["permissions"],
+        s["rules"],
+        s["charges"],
+        s["loadReport"],
+    )
+    return api.Settings(
+        rank=int(s["rank"]),
+        gateways=int(s["balancers"]),
+        zone=int(s["locality"]),
+        classes=tuple(_request_class(c) for c in s["classes"]),
+        plans=tuple(_plan(p) for p in s["packages"]),
+        may_tell_peers=bool(may["peers"]),
+        may_probe=bool(may["probes"]),
+        may_cancel=bool(may["cancel"]),
+        may_copy=bool(may["secondCopies"]),
+        max_attempts=int(may["maxAttempts"]),
+        max_retry_after=int(may["maxRetryAfter"]) if may["retryAfter"] else 0,
+        peer_intake=float(info["peerIntake"]),
+        peer_charge=float(charges["peer"]),
+        probe_charge=float(charges["probe"]),
+        waste_charge=float(charges["waste"]),
+        cross_zone_charge=float(charges["crossZone"]),
+        has_counter=bool(info["sharedCounter"]),
+        asks_for_list=s["discovery"] == "on_request",
+        ask_within=int(rules["askWithin"]),
+        reports=REPORTS[report["how"]],
+        report_names=tuple(report["names"]),
+        cold_from=float(rules["coldFrom"]),
+        warm_within=int(rules["warmWithin"]),
+        fall_multiple=float(rules["fallMultiple"]),
+        overload_for=int(rules["overloadFor"]),
+        drain_grace=int(rules["drainGrace"]),
+    )
+
+
+def _request_class(c: dict) -> api.RequestClass:
+    return api.RequestClass(
+        aim=int(c["target"]),
+        deadline=int(c["deadline"]),
+        worth=float(c["credit"]),
+        late_worth=float(c["lateWorth"]),
+        effect=EFFECTS[c["effect"]],
+        group=api.Group(c["group"]),
+        window=int(c["dedupWindow"]),
+    )
+
+
+def _plan(p: dict) -> api.Plan:
+    return api.Plan(
+        rate=float(p["perSecond"]),
+        burst=float(p["peakUnits"]),
+        open=int(p["open"]),
+        price=float(p["pays"]),
+        beyond_earns=float(p["beyondEarns"]),
+        beyond_costs=float(p["overrunCost"]),
+        ceiling_rate=float(p["hardRate"]),
+        ceiling_burst=float(p["capDepth"]),
+        ceiling_slack=float(p["capSlack"]),
+    )
+
+
+@dataclass(slots=True)
+class Encoder:
+    """Collects the actions of one reply."""
+
+    records: list[bytes] = field(default_factory=list)
+    tail: bytearray = field(default_factory=bytearray)
+
+    def add(self, gateway: int, action: api.Action) -> None:
+        """One action of one gateway."""
+        match action:
+            case api.Send():
+                raw = _SEND.pack(65, gateway, action.request, action.server, action.give_up_at)
+            case api.Refuse():
+                raw = _REFUSE.pack(66, gateway, action.request, action.retry_after)
+            case api.Fail():
+                raw = _FINAL.pack(67, gateway, action.request)
+            case api.Cancel():
+                raw = _CANCEL.pack(68, gateway, action.request, action.attempt)
+            case api.SetTimer():
+                raw = _SET_TIMER.pack(69, gateway, action.span, action.token)
+            case api.Probe():
+                raw = _SERVER_ONLY.pack(70, gateway, action.server)
+            case api.TellPeer():
+                raw = _TELL.pack(72, gateway, action.peer, *self._put(action.body))
+            case api.AskList():
+                raw = _WATCH.pack(75, gateway, 1)
+            case api.FetchList():
+                raw = _BARE.pack(76, gateway)
+            case _:
+                raise TypeError(f"no action of the wire: {action!r}")
+        self.records.append(raw.ljust(ACTION_SIZE, b"\0"))
+
+    def bug(self, gateway: int, text: str) -> None:
+        """The decisions failed."""
+        self.records.append(_TEXT.pack(74, gateway, *self._put(text.encode())).ljust(ACTION_SIZE, b"\0"))
+
+    def reply(self) -> bytes:
+        """The whole reply frame."""
+        body = b"".join(self.records) + self.tail
+        return REPLY_HEADER.pack(len(self.records), len(body)) + body
+
+    def _put(self, body: bytes) -> tuple[int, int]:
+        at = len(self.tail)
+        self.tail += body
+        return at, len(body)
