--- a/orchidlane/messages.py
+++ b/orchidlane/messages.py
@@ -14,7 +14,8 @@
 
 FORMAT = 1
 SIZE_MOST = 256  # bytes: what the transport carries
-HEAD_MOST = 18  # bytes a head may take
+HEAD_MOST = 17  # bytes a head may take
+ROWS_MOST = SIZE_MOST - HEAD_MOST  # bytes left for rows
 SCALE = 64  # parts of a unit that travel
 VARINT_MOST = 9  # bytes: 63 bits
 
@@ -74,27 +75,35 @@
     return bytes(out)
 
 
-def pack_head(sent: int, birth: int, caught_up: bool) -> bytes:
-    """The head as bytes."""
-    return bytes((FORMAT, int(caught_up))) + sent.to_bytes(6, "little") + _varint(sent - birth)
+def pack(sent: int, birth: int, caught_up: bool, rows: list[bytes]) -> bytes:
+    """A whole message."""
+    return (
+        bytes((FORMAT, int(caught_up))) + sent.to_bytes(6, "little") + _varint(sent - birth) + b"".join(rows)
+    )
 
 
-def unpack(body: bytes) -> Message | None:
-    """The message, or None where the bytes are none."""
+def unpack(body: bytes, now: int, ranks: int, plans: int) -> Message | None:
+    """The message, or None where the bytes are none, tell of the future, or name what does not exist."""
     try:
         if body[0] != FORMAT or body[1] > 1 or len(body) > SIZE_MOST:
             return None
         sent = int.from_bytes(body[2:8], "little")
         age, at = _read_varint(body, 8)
+        if sent > now:
+            return None
         rows = []
         while at < len(body):
             customer = int.from_bytes(body[at : at + 5], "little")
             plan, first, size, out = body[at + 5 : at + 9]
             limit, at = _read_varint(body, at + 9)
             number, at = body[at], at + 1
+            if plan >= plans or first >= ranks or size < 1:
+                return None
             counts = []
             for _ in range(number):
                 rank = body[at]
+                if rank >= ranks:
+                    return None
                 start_age, at = _read_varint(body, at + 1)
                 value, at = _read_varint(body, at)
                 counts.append((rank, sent - start_age, value / SCALE))
--- a/orchidlane/rules.py
+++ b/orchidlane/rules.py
@@ -1,19 +1,21 @@
 """All decisions of a gateway; its types, events and actions are in ``orchidlane/interface.py``.
 
-A request's life: arrived -> admitted by its customer's counts -> sent to the server that should answer soonest ->
-outcome -> perhaps another attempt -> exactly one final answer. Every send passes ``_send``, every answer of ours
-passes ``_end``. Quotas are grow-only counts by gateway that gossip spreads; see docs/design.md.
+A request's life: arrived -> admitted by its customer's counts -> sent to the server that should answer
+soonest -> outcome -> perhaps another attempt -> exactly one final answer. Every send passes ``_send``, every
+answer of ours ``_end``. Quotas are grow-only counts by gateway, spread by gossip; see docs/design.md.
 """
 
 from __future__ import annotations
 
 import math
 import random
-from dataclasses import dataclass, field
+from collections import deque
+from itertools import islice
 
 from . import interface as api
 from . import messages
 from .interface import Effect, Group, ListKind, Outcome, Phase
+from .state import Account, Attempt, Host, Peer, Request, apply_list
 
 MS, SECOND = 1_000, 1_000_000  # microseconds
 
@@ -32,7 +34,8 @@
 BASE = 2.0  # requests a server is taken to hold besides those known: keeps first guesses level
 START_OF_AIM = 0.25  # of the aim that an idle server is first thought to need
 LEARN = 0.15  # weight of the newest answer time
-FORGET = 6 * SECOND  # after this a slow server's mark has faded to a third: gentle return
+FORGET = 3 * SECOND  # after this a slow server's mark has faded to a third: gentle return
+SLOW_MOST = 8.0  # times the idle answer time that one answer may count for
 FAIL_WEIGHT = 3.0  # an attempt that failed makes a server look this much slower
 FAIL_MOST = 4.0  # failures remembered at most
 CHOICES = 12  # servers compared for one request
@@ -46,82 +49,10 @@
 COPY_AFTER = 0.4  # of the aim without an answer: a second copy may pay
 COPY_BUDGET = 0.05  # further attempts earned by each request: no retry storms
 COPY_MOST = 5.0  # further attempts saved up
-SHED_LOW, SHED_HIGH = 0.5, 0.9  # of the aim: the expected answer time beyond which cheapest / dearest is refused
+SHED_LOW, SHED_HIGH = 0.5, 0.9  # of the aim: expected to take longer, the cheapest / dearest is refused
 TURN = 0  # the token of the gossip timer; a request's timer has its id + 1
 
 
-@dataclass(slots=True)
-class Account:
-    """What is known of one customer: counts by rank as (start in ms, value), limit, and what is held back."""
-
-    plan: int
-    first: int
-    size: int
-    limit: float
-    risen: int
-    counts: dict[int, tuple[int, float]] = field(default_factory=dict)
-    held: float = 0.0  # what unheard gateways may have spent
-    unheard: float = 0.0  # their part of the set
-    adopted: float = 0.0  # of an earlier life's count taken into our own
-    out: int = 0
-    peers_out: dict[int, tuple[int, int]] = field(default_factory=dict)
-    approvals: list[int] = field(default_factory=list)
-    ceiling: float = 0.0
-
-    def used(self) -> float:
-        return sum(value for _, value in self.counts.values())
-
-
-@dataclass(slots=True)
-class Host:
-    """A server: what discovery says and what requests met."""
-
-    entry: api.ServerEntry
-    slow: float = 1.0
-    fails: float = 0.0
-    seen: int = 0
-    out: int = 0
-    active: int = 0  # last answer, or when the first of those out was sent
-    reported: float = 0.0
-    credit: float = 0.0  # sends that its cold start allows
-    credited: int = 0
-
-
-@dataclass(slots=True)
-class Attempt:
-    """One send; ran means that it may have run."""
-
-    host: Host
-    sent: int
-    load: float
-    out: bool = True
-    ran: bool = True
-
-
-@dataclass(slots=True)
-class Request:
-    """A request that is owed an answer."""
-
-    event: api.RequestArrived
-    cls: api.RequestClass
-    account: Account
-    until: int
-    attempts: list[Attempt] = field(default_factory=list)
-
-
-@dataclass(slots=True)
-class Peer:
-    """Another gateway: when it was heard, what it has to be told."""
-
-    heard: int = 0
-    birth: int = -1
-    told: int = 0
-    synced: bool = False
-    allowance: float = 1.0
-    filled: int = 0
-    pending: dict[int, int] = field(default_factory=dict)  # customer -> bits of the changed counts
-
-
 class Gateway:
     """One gateway's decisions: feed events with the clock, carry out the actions."""
 
@@ -129,7 +60,7 @@
         self.s, self.random, self.now = settings, random.Random(seed), now
         self.birth, self.rank = now, settings.rank
         self.accounts: dict[int, Account] = {}
-        self.idle_queue: list[int] = []
+        self.idle_queue: deque[int] = deque()
         self.hosts: dict[api.Server, Host] = {}
         self.ready: list[Host] = []
         self.requests: dict[int, Request] = {}
@@ -139,12 +70,20 @@
         self.budget = COPY_MOST
         self.send_rate, self.rate_at = 0.0, now
         peers = [r for r in range(settings.gateways) if r != self.rank] if settings.may_tell_peers else []
-        self.peers = {r: Peer(heard=now - 60 * SECOND, told=now, filled=now) for r in peers}
+        self.peers = {r: Peer(heard=now - SILENT_AFTER * SECOND, told=now, filled=now) for r in peers}
         self.per_peer = INTAKE_SHARE * settings.peer_intake / max(1, settings.gateways - 1)
         fair = SECOND / max(self.per_peer * max(1, len(peers)), 0.1)
         self.interval = int(max(INTERVAL_LEAST, min(INTERVAL_MOST, fair)))
         self.silent_after = SILENT_AFTER * self.interval * max(1, len(peers))
         self.actions: list[api.Action] = []
+        self.handlers = {
+            api.RequestArrived: self._arrived,
+            api.AttemptEnded: self._ended,
+            api.TimerFired: self._timer,
+            api.PeerMessage: self._peer_said,
+            api.ServerListed: self._listed,
+            api.ClientGone: self._client_gone,
+        }
 
     def start(self) -> list[api.Action]:
         self.actions = [api.SetTimer(self.interval, TURN)]
@@ -154,22 +93,9 @@
 
     def handle(self, now: int, event: api.Event) -> list[api.Action]:
         self.now, self.actions = now, []
-        match event:
-            case api.RequestArrived():
-                self._arrived(event)
-            case api.AttemptEnded():
-                self._ended(event)
-            case api.TimerFired():
-                self._timer(event.token)
-            case api.PeerMessage():
-                self._peer_said(event)
-            case api.ServerListed():
-                self._listed(event)
-            case api.ClientGone():
-                if request := self.requests.get(event.request):
-                    self._drop(request)
-            case api.StreamStarted():
-                self.requests.pop(event.request, None)
+        handler = self.handlers.get(type(event))
+        if handler:
+            handler(event)
         return self.actions
 
     # -- a request arrives, is admitted, and is sent ------------------------------------------------------
@@ -215,10 +141,8 @@
                 return False
         if not plan.rate:
             return True
-        room = account.limit - account.used()
-        if self.rank not in account.counts:  # a new customer gets one request at least
-            return room >= event.units
-        return room - account.held >= event.units
+        held = account.held if self.rank in account.counts else 0.0  # a new one gets one request at least
+        return account.room - held >= event.units
 
     def _patience(self, request: Request) -> float:
         """The longest expected answer time at which a request is let in: longer the more its work earns."""
@@ -260,13 +184,7 @@
             return True
         if cls.effect is Effect.UNSAFE or self.now >= ran[0].sent + cls.window - LEAVE:
             return False
-        one = ran[0].host.entry
-        match cls.group:
-            case Group.ALL:
-                return True
-            case Group.ZONE:
-                return host.entry.zone == one.zone
-        return host.entry.cell == one.cell
+        return host.shares(cls.group) == ran[0].host.shares(cls.group)
 
     def _cold_allows(self, host: Host) -> bool:
         """Rule 4: a cold server gets what its least capacity allows of a warm one's share of our sends."""
@@ -346,8 +264,8 @@
         """Every final answer of ours passes here: refuse where a retry is harmless, else fail."""
         cls = request.cls
         ran = any(a.ran for a in request.attempts)
-        harmless = not ran or cls.effect is Effect.SAFE or (cls.effect is Effect.KEYED and cls.group is Group.ALL)
-        if harmless:
+        keyed_anywhere = cls.effect is Effect.KEYED and cls.group is Group.ALL
+        if not ran or cls.effect is Effect.SAFE or keyed_anywhere:
             self.actions.append(api.Refuse(request.event.request, 0))
         else:
             self.actions.append(api.Fail(request.event.request))
@@ -361,52 +279,37 @@
                 if attempt.out:
                     self.actions.append(api.Cancel(request.event.request, number))
 
-    def _timer(self, token: int) -> None:
-        if token == TURN:
+    def _client_gone(self, event: api.ClientGone) -> None:
+        if request := self.requests.get(event.request):
+            self._drop(request)
+
+    def _timer(self, event: api.TimerFired) -> None:
+        if event.token == TURN:
             return self._turn()
-        request = self.requests.get(token - 1)
+        request = self.requests.get(event.token - 1)
         if request is None:
             return None
         out = [a for a in request.attempts if a.out]
+        more = len(request.attempts) < self.s.max_attempts and self.now < request.until - LEAVE
         if not out:
-            return self._advance(request)
+            self._advance(request)
         # A second copy, where the first one's server has answered nobody since: it stalls or died.
-        if len(out) == 1 and out[0].host.active <= out[0].sent and self.budget >= 1:
-            if len(request.attempts) < self.s.max_attempts and self.now < request.until - LEAVE:
-                self.budget -= 1
-                self._advance(request)
+        elif more and len(out) == 1 and out[0].host.active <= out[0].sent and self.budget >= 1:
+            self.budget -= 1
+            self._advance(request)
         return None
 
     # -- servers ------------------------------------------------------------------------------------------
 
     def _listed(self, event: api.ServerListed) -> None:
-        if event.kind is ListKind.FAILED:
-            return
-        told = {}
-        for entry in event.entries:
-            told[entry.server] = entry
-            host = self.hosts.get(entry.server)
-            if host is None:
-                self.hosts[entry.server] = Host(entry, seen=self.now, credited=self.now)
-                continue
-            if entry.launched > host.entry.launched:
-                host.slow, host.fails, host.credit, host.credited = 1.0, 0.0, 0.0, self.now
-            host.entry = entry
-        ready = []
-        for server in sorted(self.hosts):
-            host = self.hosts[server]
-            if event.kind is not ListKind.CHANGES and server not in told:
-                e = host.entry
-                host.entry = api.ServerEntry(server, Phase.GONE, e.zone, e.cell, e.launched, e.size)
-            if host.entry.phase is Phase.READY:
-                ready.append(host)
-        self.ready = ready
+        if event.kind is not ListKind.FAILED:
+            self.ready = apply_list(self.hosts, event, self.now)
 
     def _load(self, host: Host) -> float:
         return max(host.out, host.reported) + BASE
 
     def _expected(self, host: Host, kind: int) -> float:
-        """The expected answer time: what requests met there, what is out there, and how long it has been quiet."""
+        """The expected answer time: what requests met there, what is out, how long it has been quiet."""
         fade = math.exp((host.seen - self.now) / FORGET)
         slow = 1 + (host.slow - 1) * fade
         time = self.units[kind] * slow * self._load(host) * (1 + FAIL_WEIGHT * host.fails * fade)
@@ -424,8 +327,11 @@
             host.active = self.now
         if event.outcome in (Outcome.SERVED, Outcome.TIMED_OUT):
             unit = event.took / attempt.load
-            host.slow += LEARN * (unit / self.units[kind] - host.slow)
-            self.units[kind] += LEARN / 4 * (unit - self.units[kind])
+            host.slow += LEARN * (min(SLOW_MOST, unit / self.units[kind]) - host.slow)
+            # What an idle server needs: quick to fall, slow to rise, and never so long that nothing is tried.
+            step = LEARN if unit < self.units[kind] else LEARN / 20
+            longest = START_OF_AIM * self.s.classes[kind].aim / BASE
+            self.units[kind] = min(longest, self.units[kind] + step * (unit - self.units[kind]))
         if event.outcome is Outcome.SERVED:
             host.fails /= 2
         elif event.outcome not in (Outcome.CANCELLED, Outcome.NEVER_SENT):
@@ -436,7 +342,9 @@
     def _account(self, customer: int, plan: int, first: int, size: int) -> Account:
         account = self.accounts.get(customer)
         if account is None:
-            account = Account(plan, first, max(1, size), self.s.plans[plan].burst, self.now)
+            ranks = [(first + i) % self.s.gateways for i in range(min(size, self.s.gateways))]
+            peers = tuple(r for r in ranks if r in self.peers)
+            account = Account(plan, first, max(1, size), peers, self.s.plans[plan].burst, self.now)
             account.ceiling = self._ceiling_share(account, self.now - self.birth)
             self.accounts[customer] = account
             self.idle_queue.append(customer)
@@ -450,23 +358,18 @@
 
     def _unheard(self, account: Account) -> float:
         """The part of the set that has not been heard lately, or not yet since it or we started."""
-        gateways, lost = self.s.gateways, 0
-        for step in range(min(account.size, gateways)):
-            rank = (account.first + step) % gateways
-            peer = self.peers.get(rank)
-            if rank != self.rank and (peer is None or not peer.synced or self._silent(peer)):
-                lost += 1
-        return lost / account.size
+        peers = [self.peers[r] for r in account.peers]
+        return sum(not p.synced or self._silent(p) for p in peers) / account.size
 
     def _silent(self, peer: Peer) -> bool:
         return self.now - peer.heard > self.silent_after
 
     def _lift(self, account: Account) -> None:
-        """Raise the limit by the time gone; room stays within the burst; unheard gateways' spending is held back."""
+        """Raise the limit by the time gone; room stays within the burst; hold back what others may spend."""
         plan, span = self.s.plans[account.plan], self.now - account.risen
         account.risen = self.now
         account.ceiling = self._ceiling_share(account, span, account.ceiling)
-        used = account.used()
+        used = account.used
         account.limit += plan.rate * span / SECOND
         unheard = self._unheard(account)
         if unheard and not account.unheard:
@@ -485,22 +388,16 @@
         start, value = account.counts.get(self.rank, (self.now // MS, 0.0))
         account.counts[self.rank] = start, value + units
         account.ceiling -= units
-        account.approvals = [*account.approvals[-1:], self.now]
-        room = account.limit - account.used()
-        gap = self.now - account.approvals[0]
-        fast = len(account.approvals) > 1 and gap * plan.rate < units * SECOND
+        account.approved = (*account.approved[-1:], self.now)
+        gap = self.now - account.approved[0]
+        fast = len(account.approved) > 1 and gap * plan.rate < units * SECOND
         self._changed(customer, account, 1 << self.rank, None)
-        if fast or room < TIGHT * plan.burst or plan.open:
-            for rank in self._set_peers(account):
+        if fast or account.room < TIGHT * plan.burst or plan.open:
+            for rank in account.peers:
                 self._tell(rank)
 
-    def _set_peers(self, account: Account) -> list[int]:
-        gateways = self.s.gateways
-        ranks = [(account.first + i) % gateways for i in range(min(account.size, gateways))]
-        return [r for r in ranks if r in self.peers]
-
     def _changed(self, customer: int, account: Account, bits: int, teller: int | None) -> None:
-        for rank in self._set_peers(account):
+        for rank in account.peers:
             if rank != teller:
                 pending = self.peers[rank].pending
                 pending[customer] = pending.get(customer, 0) | bits
@@ -526,60 +423,55 @@
         peer.told = self.now
         sent, birth = self.now // MS, self.birth // MS
         rows: list[bytes] = []
-        room = messages.SIZE_MOST - messages.HEAD_MOST
+        space = messages.ROWS_MOST
         # A new gateway's counts would replace those of its earlier life at its peers: first it hears them.
         waiting = not all(p.synced or self._silent(p) for p in self.peers.values())
         if not waiting or self.now - self.birth > RECOVER_FOR:
             for customer in self._pressing(peer):
                 row = self._row(customer, peer.pending[customer], sent)
-                if row is not None and len(row) > room:
+                if len(row) > space:
                     break
                 del peer.pending[customer]
-                if row is not None:
-                    room -= len(row)
-                    rows.append(row)
-        caught_up = peer.birth >= 0 and not peer.pending
-        body = messages.pack_head(sent, birth, caught_up) + b"".join(rows)
-        self.actions.append(api.TellPeer(rank, body))
+                peer.owed.discard(customer)
+                space -= len(row)
+                rows.append(row)
+        caught_up = peer.birth >= 0 and not peer.owed
+        self.actions.append(api.TellPeer(rank, messages.pack(sent, birth, caught_up, rows)))
 
     def _pressing(self, peer: Peer) -> list[int]:
-        some = []
-        for customer in peer.pending:
-            some.append(customer)
-            if len(some) == LOOK_AT:
-                break
+        """Changed customers, those with the least room first; forgotten ones are full and say nothing."""
+        for customer in [c for c in islice(peer.pending, LOOK_AT) if c not in self.accounts]:
+            del peer.pending[customer]
+            peer.owed.discard(customer)
 
         def room(customer: int) -> float:
-            account = self.accounts.get(customer)
-            if account is None:
-                return math.inf
-            return (account.limit - account.used()) / max(self.s.plans[account.plan].burst, 1e-9)
+            account = self.accounts[customer]
+            return account.room / (self.s.plans[account.plan].burst or 1.0)
 
-        return sorted(some, key=room)
+        return sorted((c for c in islice(peer.pending, LOOK_AT) if c in self.accounts), key=room)
 
-    def _row(self, customer: int, bits: int, sent: int) -> bytes | None:
-        account = self.accounts.get(customer)
-        if account is None:
-            return None
+    def _row(self, customer: int, bits: int, sent: int) -> bytes:
+        account = self.accounts[customer]
         self._lift(account)
         counts = tuple((r, *account.counts[r]) for r in sorted(account.counts) if bits >> r & 1)
         limit = max(0.0, account.limit - account.held)
-        out = account.out
-        row = messages.Row(customer, account.plan, account.first, account.size, out, limit, counts)
-        return messages.pack_row(row, sent)
+        key = customer, account.plan, account.first, account.size
+        return messages.pack_row(messages.Row(*key, account.out, limit, counts), sent)
 
     def _peer_said(self, event: api.PeerMessage) -> None:
-        peer, message = self.peers.get(event.sender), messages.unpack(event.body)
-        now = self.now // MS
-        if peer is None or message is None or message.sent > now + FUTURE_MOST or message.birth < peer.birth:
+        latest = self.now // MS + FUTURE_MOST
+        message = messages.unpack(event.body, latest, self.s.gateways, len(self.s.plans))
+        peer = self.peers.get(event.sender)
+        if peer is None or message is None or message.birth < peer.birth:
             return
         anew = message.birth > peer.birth or self._silent(peer)
         peer.heard, peer.birth = self.now, message.birth
         if anew:  # it has started, or was cut off: it has to be told everything that its set shares
             peer.synced = False
             for customer, account in self.accounts.items():
-                if event.sender in self._set_peers(account):
+                if event.sender in account.peers:
                     peer.pending[customer] = -1
+            peer.owed = set(peer.pending)
         for row in message.rows:
             self._merge(row, event.sender, message.sent)
         if message.caught_up:
@@ -587,18 +479,9 @@
 
     def _merge(self, row: messages.Row, teller: int, sent: int) -> None:
         """Newer start, then larger value; the larger limit."""
-        gateways = self.s.gateways
-        if row.plan >= len(self.s.plans) or not 1 <= row.set_size or row.set_first >= gateways:
-            return
-        now = self.now // MS
-        if any(rank >= gateways or start > now + FUTURE_MOST for rank, start, _ in row.counts):
-            return
-        plan = self.s.plans[row.plan]
         account = self._account(row.customer, row.plan, row.set_first, row.set_size)
-        if account.plan != row.plan:
-            return
+        plan, bits = self.s.plans[account.plan], 0
         self._lift(account)
-        bits = 0
         for rank, start, value in row.counts:
             if rank == self.rank:
                 bits |= self._adopt(account, start, value)
@@ -606,17 +489,15 @@
                 account.counts[rank] = start, value
                 bits |= 1 << rank
         account.peers_out[teller] = row.out, self.now
-        limit = row.limit + plan.rate * max(0, now - sent) / 1000
+        limit = row.limit + plan.rate * max(0, self.now // MS - sent) / 1000
         account.limit = max(account.limit, limit + account.held)
         self._lift(account)
         if bits:
             self._changed(row.customer, account, bits, teller)
 
     def _adopt(self, account: Account, start: int, value: float) -> int:
-        """Guards against a restart's fresh allowance: our earlier life's count goes on under our new start."""
-        mine = account.counts.get(self.rank)
-        if mine is None:
-            mine = (self.now // MS, 0.0)
+        """Guards against a restart's fresh allowance: an earlier life's count goes on under our start."""
+        mine = account.counts.get(self.rank, (self.now // MS, 0.0))
         if start >= mine[0] or value <= account.adopted:
             return 0
         account.counts[self.rank] = mine[0], mine[1] + value - account.adopted
@@ -624,14 +505,14 @@
         return 1 << self.rank
 
     def _drop_idle(self) -> None:
-        """Full and idle accounts say nothing: forget a few each turn, so that one-off customers cost no memory."""
+        """Full and idle accounts say nothing: forgotten a few a turn, one-off customers cost no memory."""
         for _ in range(min(IDLE_LOOK, len(self.idle_queue))):
-            customer = self.idle_queue.pop()
+            customer = self.idle_queue.popleft()
             account = self.accounts[customer]
             plan = self.s.plans[account.plan]
             self._lift(account)
-            full = account.limit - account.used() >= plan.burst and not account.held and not account.out
-            if full and account.ceiling >= plan.ceiling_burst / account.size:
+            idle = account.room >= plan.burst and not account.held and not account.out
+            if idle and account.ceiling >= plan.ceiling_burst / account.size:
                 del self.accounts[customer]
             else:
-                self.idle_queue.insert(0, customer)
+                self.idle_queue.append(customer)
--- a/orchidlane/wire.py
+++ b/orchidlane/wire.py
@@ -178,7 +178,8 @@
 
 
 def _answer(_: Decoder, body: bytes, at: int, __: bytes):
-    gateway, request, attempt, server, reason, took, settled, use, cost, n, *values = _OUTCOME.unpack_from(body, at)
+    fields = _OUTCOME.unpack_from(body, at)
+    gateway, request, attempt, server, reason, took, settled, use, cost, n, *values = fields
     return gateway, api.AttemptEnded(
         request, attempt, server, _outcome(reason), took, bool(settled), use, float(cost), tuple(values[:n])
     )
