--- a/orchidlane/rules.py
+++ b/orchidlane/rules.py
@@ -33,6 +33,7 @@
 # Servers
 BASE = 2.0  # requests a server is taken to hold besides those known: keeps first guesses level
 START_OF_AIM = 0.25  # of the aim that an idle server is first thought to need
+REPORT_FADE = SECOND // 2  # after this a load report counts a third
 LEARN = 0.15  # weight of the newest answer time
 FORGET = 3 * SECOND  # after this a slow server's mark has faded to a third: gentle return
 SLOW_MOST = 8.0  # times the idle answer time that one answer may count for
@@ -49,7 +50,7 @@
 COPY_AFTER = 0.4  # of the aim without an answer: a second copy may pay
 COPY_BUDGET = 0.05  # further attempts earned by each request: no retry storms
 COPY_MOST = 5.0  # further attempts saved up
-SHED_LOW, SHED_HIGH = 0.5, 0.9  # of the aim: expected to take longer, the cheapest / dearest is refused
+SHED_LOW, SHED_HIGH = 0.35, 0.7  # of the aim: expected to take longer, the cheapest / dearest is refused
 TURN = 0  # the token of the gossip timer; a request's timer has its id + 1
 
 
@@ -65,7 +66,7 @@
         self.ready: list[Host] = []
         self.requests: dict[int, Request] = {}
         self.attempts: dict[tuple[int, int], tuple[Attempt, int, Account]] = {}
-        self.units = [START_OF_AIM * c.aim / BASE for c in settings.classes]
+        self.usual = [START_OF_AIM * c.aim for c in settings.classes]
         self.dearest = 0.0
         self.budget = COPY_MOST
         self.send_rate, self.rate_at = 0.0, now
@@ -147,7 +148,7 @@
     def _patience(self, request: Request) -> float:
         """The longest expected answer time at which a request is let in: longer the more its work earns."""
         event = request.event
-        earns = request.cls.worth * self.s.plans[event.plan].price * event.units / self.units[event.kind]
+        earns = request.cls.worth * self.s.plans[event.plan].price * event.units / self.usual[event.kind]
         self.dearest = max(self.dearest * 0.999, earns)
         share = SHED_LOW + (SHED_HIGH - SHED_LOW) * earns / self.dearest
         return share * min(request.cls.aim, event.time_left)
@@ -306,36 +307,43 @@
             self.ready = apply_list(self.hosts, event, self.now)
 
     def _load(self, host: Host) -> float:
-        return max(host.out, host.reported) + BASE
+        """Requests there: our own, those that a fresh report showed beyond them, and a few unknown ones."""
+        return host.out + host.others * math.exp((host.reported - self.now) / REPORT_FADE) + BASE
 
     def _expected(self, host: Host, kind: int) -> float:
-        """The expected answer time: what requests met there, what is out, how long it has been quiet."""
+        """The expected answer time: what requests met there, how the load changed, how long it is quiet."""
         fade = math.exp((host.seen - self.now) / FORGET)
-        slow = 1 + (host.slow - 1) * fade
-        time = self.units[kind] * slow * self._load(host) * (1 + FAIL_WEIGHT * host.fails * fade)
+        slow, fails = 1 + (host.slow - 1) * fade, 1 + FAIL_WEIGHT * host.fails * fade
+        time = self.usual[kind] * slow * fails * self._load(host) / host.typical
         if host.out:  # guards against a stalling or dead server: it answers nobody
             time = max(time, self.now - host.active)
         return time
 
     def _learn(self, attempt: Attempt, kind: int, event: api.AttemptEnded) -> None:
+        """Each outcome tells of its server; a mark fades unless renewed, so that traffic returns gently."""
         host = attempt.host
         host.out -= 1
         fade = math.exp((host.seen - self.now) / FORGET)
-        host.slow, host.fails = 1 + (host.slow - 1) * fade, host.fails * fade
-        host.seen = self.now
+        host.slow, host.fails, host.seen = 1 + (host.slow - 1) * fade, host.fails * fade, self.now
         if event.outcome in (Outcome.SERVED, Outcome.ERROR, Outcome.FULL):
             host.active = self.now
         if event.outcome in (Outcome.SERVED, Outcome.TIMED_OUT):
-            unit = event.took / attempt.load
-            host.slow += LEARN * (min(SLOW_MOST, unit / self.units[kind]) - host.slow)
-            # What an idle server needs: quick to fall, slow to rise, and never so long that nothing is tried.
-            step = LEARN if unit < self.units[kind] else LEARN / 20
-            longest = START_OF_AIM * self.s.classes[kind].aim / BASE
-            self.units[kind] = min(longest, self.units[kind] + step * (unit - self.units[kind]))
+            host.slow += LEARN * (min(SLOW_MOST, event.took / self.usual[kind]) - host.slow)
+            host.typical += LEARN * (attempt.load - host.typical)
+            # Capped, so that in a jam an idle server still seems worth a try and the end of it is noticed.
+            most = START_OF_AIM * self.s.classes[kind].aim
+            self.usual[kind] = min(most, self.usual[kind] + LEARN / 5 * (event.took - self.usual[kind]))
         if event.outcome is Outcome.SERVED:
             host.fails /= 2
         elif event.outcome not in (Outcome.CANCELLED, Outcome.NEVER_SENT):
             host.fails = min(FAIL_MOST, host.fails + 1)
+        self._report(host, event.report)
+
+    def _report(self, host: Host, report: tuple[float, ...]) -> None:
+        told = dict(zip(self.s.report_names, report, strict=False))
+        if "inflight" in told or "queue" in told:
+            host.others = max(0.0, told["inflight"] - host.out) if "inflight" in told else told["queue"]
+            host.reported = self.now
 
     # -- counts -------------------------------------------------------------------------------------------
 
--- a/orchidlane/state.py
+++ b/orchidlane/state.py
@@ -48,7 +48,9 @@
     fails: float = 0.0
     out: int = 0
     active: int = 0  # last answer, or when the first of those out was sent
-    reported: float = 0.0  # requests there by its last report
+    typical: float = 2.0  # load that its answer times were met under
+    others: float = 0.0  # requests of others there by its last report
+    reported: int = 0  # when that came
     credit: float = 0.0  # sends that its cold start allows
 
     def shares(self, group: api.Group) -> int:
