--- a/orchidlane/rules.py
+++ b/orchidlane/rules.py
@@ -50,7 +50,7 @@
 COPY_AFTER = 0.4  # of the aim without an answer: a second copy may pay
 COPY_BUDGET = 0.05  # further attempts earned by each request: no retry storms
 COPY_MOST = 5.0  # further attempts saved up
-SHED_LOW, SHED_HIGH = 0.35, 0.7  # of the aim: expected to take longer, the cheapest / dearest is refused
+SHED_LOW, SHED_HIGH = 0.6, 1.0  # of the aim: expected to take longer, the cheapest / dearest is refused
 TURN = 0  # the token of the gossip timer; a request's timer has its id + 1
 
 
