--- a/orchidlane/rules.py
+++ b/orchidlane/rules.py
@@ -50,7 +50,7 @@
 COPY_AFTER = 0.4  # of the aim without an answer: a second copy may pay
 COPY_BUDGET = 0.05  # further attempts earned by each request: no retry storms
 COPY_MOST = 5.0  # further attempts saved up
-SHED_LOW, SHED_HIGH = 0.6, 1.0  # of the aim: expected to take longer, the cheapest / dearest is refused
+SHED_LOW, SHED_HIGH = 0.1, 0.3  # of the aim beyond the usual time: slower, the cheapest / dearest is refused
 TURN = 0  # the token of the gossip timer; a request's timer has its id + 1
 
 
@@ -151,7 +151,8 @@
         earns = request.cls.worth * self.s.plans[event.plan].price * event.units / self.usual[event.kind]
         self.dearest = max(self.dearest * 0.999, earns)
         share = SHED_LOW + (SHED_HIGH - SHED_LOW) * earns / self.dearest
-        return share * min(request.cls.aim, event.time_left)
+        usual = self.usual[event.kind]
+        return usual + share * max(0.0, min(request.cls.aim, event.time_left) - usual)
 
     def _choose(self, request: Request) -> Host | None:
         """The server that should answer soonest among those that the rules allow for this request."""
