--- a/orchidlane/rules.py
+++ b/orchidlane/rules.py
@@ -50,7 +50,7 @@
 COPY_AFTER = 0.4  # of the aim without an answer: a second copy may pay
 COPY_BUDGET = 0.05  # further attempts earned by each request: no retry storms
 COPY_MOST = 5.0  # further attempts saved up
-SHED_LOW, SHED_HIGH = 0.1, 0.3  # of the aim beyond the usual time: slower, the cheapest / dearest is refused
+SHED_LOW, SHED_HIGH = 0.05, 0.2  # of the aim beyond the usual time: slower, the cheapest / dearest is refused
 TURN = 0  # the token of the gossip timer; a request's timer has its id + 1
 
 
@@ -59,7 +59,7 @@
 
     def __init__(self, settings: api.Settings, seed: int, now: int) -> None:
         self.s, self.random, self.now = settings, random.Random(seed), now
-        self.birth, self.rank = now, settings.rank
+        self.birth, self.rank, self.new = now, settings.rank, True
         self.accounts: dict[int, Account] = {}
         self.idle_queue: deque[int] = deque()
         self.hosts: dict[api.Server, Host] = {}
@@ -396,7 +396,7 @@
         plan = self.s.plans[account.plan]
         start, value = account.counts.get(self.rank, (self.now // MS, 0.0))
         account.counts[self.rank] = start, value + units
-        account.ceiling -= units
+        account.ceiling -= units if plan.ceiling_rate else 0.0
         account.approved = (*account.approved[-1:], self.now)
         gap = self.now - account.approved[0]
         fast = len(account.approved) > 1 and gap * plan.rate < units * SECOND
@@ -434,8 +434,9 @@
         rows: list[bytes] = []
         space = messages.ROWS_MOST
         # A new gateway's counts would replace those of its earlier life at its peers: first it hears them.
-        waiting = not all(p.synced or self._silent(p) for p in self.peers.values())
-        if not waiting or self.now - self.birth > RECOVER_FOR:
+        deaf = any(not p.synced and not self._silent(p) for p in self.peers.values())
+        self.new = self.new and deaf and self.now - self.birth <= RECOVER_FOR
+        if not self.new:
             for customer in self._pressing(peer):
                 row = self._row(customer, peer.pending[customer], sent)
                 if len(row) > space:
--- /dev/null
+++ b/tests/test_rules.py
@@ -0,0 +1,214 @@
+"""The five rules, by one gateway alone."""
+
+from __future__ import annotations
+
+import pytest
+from conftest import SECOND, T0, Bench, entry, listed, of
+
+from orchidlane import interface as api
+from orchidlane.interface import Outcome
+
+SAFE_KIND, CELL_KIND, UNSAFE_KIND, ALL_KIND, ZONE_KIND = range(5)
+NEVER_RAN = (Outcome.FULL, Outcome.NOT_CONNECTED, Outcome.NEVER_SENT)
+MAY_HAVE_RUN = (Outcome.ERROR, Outcome.TIMED_OUT, Outcome.BROKEN, Outcome.CANCELLED)
+
+
+def finals(bench: Bench, request: int) -> list:
+    """Our final answers to one request."""
+    return [a for a in bench.log if isinstance(a, (api.Refuse, api.Fail)) and a.request == request]
+
+
+# Rule 1
+
+
+def test_a_request_without_servers_is_held_and_then_ended_in_time():
+    bench = Bench(servers=0)
+    assert not of(bench.ask(1, left=SECOND), (api.Refuse, api.Fail))
+    bench.run(SECOND - 1)
+    assert finals(bench, 1) == [api.Refuse(1, 0)]
+
+
+def test_a_held_request_goes_out_when_a_server_comes():
+    bench = Bench(servers=0)
+    bench.ask(1)
+    bench.run(100_000)
+    bench.feed(listed(entry(1)))
+    assert len(of(bench.run(100_000), api.Send)) == 1
+
+
+def test_a_timeout_at_the_deadline_is_answered_at_once(bench):
+    send = of(bench.ask(1, kind=UNSAFE_KIND), api.Send)[0]
+    bench.now += 2 * SECOND
+    bench.outcome(1, send.server, Outcome.TIMED_OUT, took=2 * SECOND)
+    assert finals(bench, 1) == [api.Fail(1)]
+    bench.run(5 * SECOND)
+    assert len(finals(bench, 1)) == 1
+
+
+def test_nothing_follows_an_answer_or_a_client_gone(bench):
+    send = of(bench.ask(1), api.Send)[0]
+    bench.outcome(1, send.server, Outcome.SERVED)
+    other = of(bench.ask(2), api.Send)[0]
+    bench.feed(api.ClientGone(2))
+    bench.outcome(2, other.server, Outcome.ERROR)
+    assert not of(bench.run(3 * SECOND), (api.Send, api.Refuse, api.Fail))
+
+
+def test_what_is_not_held_is_passed_over(bench):
+    assert bench.outcome(99, entry(1).server, Outcome.SERVED) == []
+    assert bench.feed(api.TimerFired(99)) == []
+    assert bench.feed(api.ClientGone(99)) == []
+
+
+# Rule 2
+
+
+@pytest.mark.parametrize("outcome", MAY_HAVE_RUN)
+def test_an_unsafe_request_that_may_have_run_is_neither_repeated_nor_refused(bench, outcome):
+    send = of(bench.ask(1, kind=UNSAFE_KIND), api.Send)[0]
+    bench.now += 10_000
+    actions = bench.outcome(1, send.server, outcome)
+    assert not of(actions, (api.Send, api.Refuse))
+    assert of(actions, api.Fail) == [api.Fail(1)]
+
+
+@pytest.mark.parametrize("outcome", NEVER_RAN)
+def test_an_unsafe_request_that_never_ran_goes_on(bench, outcome):
+    send = of(bench.ask(1, kind=UNSAFE_KIND), api.Send)[0]
+    assert of(bench.outcome(1, send.server, outcome), api.Send)
+
+
+def test_an_unsafe_request_gets_no_second_copy(bench):
+    bench.ask(1, kind=UNSAFE_KIND)
+    assert not of(bench.run(3 * SECOND), api.Send)
+
+
+@pytest.mark.parametrize(("kind", "near"), [(CELL_KIND, "cell"), (ZONE_KIND, "zone")])
+def test_a_keyed_request_stays_in_its_group(kind, near):
+    for seed in range(12):
+        bench = Bench(servers=0, seed=seed)
+        where = {entry(i).server: i % 2 for i in range(6)}
+        bench.feed(listed(*(entry(i, **{near: i % 2}) for i in range(6))))
+        send = of(bench.ask(1, kind=kind), api.Send)[0]
+        bench.now += 10_000
+        again = of(bench.outcome(1, send.server, Outcome.BROKEN), api.Send)
+        assert [where[a.server] for a in again] == [where[send.server]]
+
+
+def test_a_keyed_request_with_no_server_of_its_group_fails_in_the_end():
+    bench = Bench(servers=0)
+    bench.feed(listed(entry(1, cell=1)))
+    send = of(bench.ask(1, kind=CELL_KIND), api.Send)[0]
+    bench.feed(listed(entry(2, cell=2)))
+    bench.now += 10_000
+    assert not of(bench.outcome(1, send.server, Outcome.BROKEN), api.Send)
+    bench.run(2 * SECOND)
+    assert finals(bench, 1) == [api.Fail(1)]
+
+
+def test_a_keyed_request_is_not_repeated_after_its_window(bench):
+    send = of(bench.ask(1, kind=ALL_KIND, left=4 * SECOND), api.Send)[0]
+    bench.now += SECOND + 1
+    assert not of(bench.outcome(1, send.server, Outcome.BROKEN), api.Send)
+    bench.run(4 * SECOND)
+    assert finals(bench, 1) == [api.Refuse(1, 0)]
+
+
+def test_no_second_copy_where_the_site_forbids_it():
+    bench = Bench(may_copy=False)
+    bench.ask(1)
+    assert not of(bench.run(SECOND), api.Send)
+
+
+def test_a_second_copy_leaves_a_silent_server_and_is_called_off_when_answered(bench):
+    first = of(bench.ask(1), api.Send)[0]
+    copies = of(bench.run(SECOND), api.Send)
+    assert len(copies) == 1
+    assert copies[0].server != first.server
+    actions = bench.outcome(1, copies[0].server, Outcome.SERVED, attempt=1)
+    assert of(actions, api.Cancel) == [api.Cancel(1, 0)]
+
+
+def test_attempts_stay_within_the_limit():
+    bench = Bench(max_attempts=2)
+    send = of(bench.ask(1), api.Send)[0]
+    send = of(bench.outcome(1, send.server, Outcome.FULL), api.Send)[0]
+    actions = bench.outcome(1, send.server, Outcome.FULL, attempt=1)
+    assert of(actions, (api.Send, api.Refuse)) == [api.Refuse(1, 0)]
+
+
+# Rule 3
+
+
+@pytest.mark.parametrize("phase", [api.Phase.DRAINING, api.Phase.GONE])
+def test_nothing_new_goes_to_a_draining_or_gone_server(phase):
+    bench = Bench(servers=0)
+    bench.feed(listed(entry(1), entry(2)))
+    bench.feed(listed(entry(1, phase=phase), kind=api.ListKind.CHANGES))
+    for request in range(1, 9):
+        for send in of(bench.ask(request, customer=request), api.Send):
+            assert send.server == entry(2).server
+            for again in of(bench.outcome(request, send.server, Outcome.FULL), api.Send):
+                assert again.server == entry(2).server
+
+
+def test_a_whole_list_ends_what_it_lacks_and_binds_held_requests():
+    bench = Bench(servers=2)
+    bench.feed(listed())
+    assert not of(bench.ask(1), api.Send)
+    assert not of(bench.run(2 * SECOND), api.Send)
+    assert finals(bench, 1) == [api.Refuse(1, 0)]
+
+
+def test_a_failed_list_call_changes_nothing(bench):
+    bench.feed(api.ServerListed(api.ListKind.FAILED, 9, ()))
+    assert of(bench.ask(1), api.Send)
+
+
+# Rule 4
+
+
+def test_a_cold_server_gets_no_more_than_its_part_of_a_warm_ones_share():
+    bench = Bench(servers=0)
+    cold = entry(9, launched=T0)
+    bench.feed(listed(*(entry(i) for i in range(4)), cold))
+    sent = {"cold": 0, "warm": 0}
+    for request in range(1, 401):
+        for send in of(bench.ask(request, customer=request), api.Send):
+            sent["cold" if send.server == cold.server else "warm"] += 1
+            bench.outcome(request, send.server, Outcome.SERVED, took=1_000)
+        bench.run(5_000)
+    ramp = 0.25 + 0.75 * 2 / 10  # two seconds into ten
+    assert sent["warm"] > 300
+    assert sent["cold"] <= ramp * sent["warm"] / 4 + 1
+
+
+def test_a_server_that_restarted_is_cold_again_and_gets_no_burst():
+    bench = Bench(servers=0)
+    bench.feed(listed(entry(1, launched=T0 - 60 * SECOND)))
+    assert len(of(bench.ask(1), api.Send)) == 1
+    bench.feed(listed(entry(1, launched=T0), kind=api.ListKind.CHANGES))
+    sends = [s for r in range(2, 40) for s in of(bench.ask(r, customer=r), api.Send)]
+    assert len(sends) <= 1
+
+
+# Rule 5
+
+
+def test_a_ceiling_is_shared_out_and_starts_empty():
+    bench = Bench(servers=4)
+    sent = 0
+    for request in range(1, 601):  # 6 s, far more than the ceiling lets pass
+        for send in of(bench.ask(request, customer=1, plan=2), api.Send):
+            sent += 1
+            bench.outcome(request, send.server, Outcome.SERVED, took=1_000)
+        bench.run(10_000)
+    assert 0 < sent <= 8 / 3 * 6
+
+
+def test_a_restart_gives_no_fresh_part_of_a_ceiling():
+    bench = Bench(now=T0 + 10 * SECOND)
+    assert not of(bench.ask(1, plan=2), api.Send)
+    bench.now += SECOND
+    sends = [s for r in range(2, 9) for s in of(bench.ask(r, plan=2), api.Send)]
+    assert len(sends) == 2  # a third of eight a second
