--- a/orchidlane/rules.py
+++ b/orchidlane/rules.py
@@ -343,7 +343,7 @@
     def _report(self, host: Host, report: tuple[float, ...]) -> None:
         told = dict(zip(self.s.report_names, report, strict=False))
         if "inflight" in told or "queue" in told:
-            host.others = max(0.0, told["inflight"] - host.out) if "inflight" in told else told["queue"]
+            host.others = 0.0 * max(0.0, told["inflight"] - host.out) if "inflight" in told else 0.0 * told["queue"]
             host.reported = self.now
 
     # -- counts -------------------------------------------------------------------------------------------
