--- a/orchidlane/rules.py
+++ b/orchidlane/rules.py
@@ -24,6 +24,9 @@
 INTERVAL_LEAST = 30 * MS  # between two gossip turns: below it messages say little more
 INTERVAL_MOST = 100 * MS  # above it two gateways often grant the same units
 SILENT_AFTER = 10  # mean gossip gaps of one peer without a word: rarely chance, soon enough for a cut
+BEATS = 4  # words to a peer in the time after which it would take us for silent
+PEER_COST = 0.012  # of the worth asked for, at most, that messages may cost
+PURSE_MOST = 30.0  # full messages saved up
 RECOVER_FOR = 1_500 * MS  # a new gateway waits so long for its peers' counts before it tells its own
 LOOK_AT = 48  # changed customers looked at for one message, to bound the work
 IDLE_LOOK = 16  # customers looked at in a turn for being idle and full
@@ -33,7 +36,6 @@
 # Servers
 BASE = 2.0  # requests a server is taken to hold besides those known: keeps first guesses level
 START_OF_AIM = 0.25  # of the aim that an idle server is first thought to need
-REPORT_FADE = SECOND // 2  # after this a load report counts a third
 LEARN = 0.15  # weight of the newest answer time
 FORGET = 3 * SECOND  # after this a slow server's mark has faded to a third: gentle return
 SLOW_MOST = 8.0  # times the idle answer time that one answer may count for
@@ -68,7 +70,7 @@
         self.attempts: dict[tuple[int, int], tuple[Attempt, int, Account]] = {}
         self.usual = [START_OF_AIM * c.aim for c in settings.classes]
         self.dearest = 0.0
-        self.budget = COPY_MOST
+        self.budget, self.purse = COPY_MOST, PURSE_MOST
         self.send_rate, self.rate_at = 0.0, now
         peers = [r for r in range(settings.gateways) if r != self.rank] if settings.may_tell_peers else []
         self.peers = {r: Peer(heard=now - SILENT_AFTER * SECOND, told=now, filled=now) for r in peers}
@@ -94,19 +96,17 @@
 
     def handle(self, now: int, event: api.Event) -> list[api.Action]:
         self.now, self.actions = now, []
-        handler = self.handlers.get(type(event))
-        if handler:
-            handler(event)
+        self.handlers.get(type(event), lambda _: None)(event)
         return self.actions
 
     # -- a request arrives, is admitted, and is sent ------------------------------------------------------
 
     def _arrived(self, event: api.RequestArrived) -> None:
-        account = self._account(event.customer, event.plan, event.set_first, event.set_size)
-        cls = self.s.classes[event.kind]
-        request = Request(event, cls, account, self.now + event.time_left)
+        account = self._account(event.customer, event.plan, event.set_first, event.set_size, trusted=True)
+        request = Request(event, self.s.classes[event.kind], account, self.now + event.time_left)
         self.requests[event.request] = request
-        self.budget = min(COPY_MOST, self.budget + COPY_BUDGET)
+        self.budget = min(COPY_MOST, max(0.0, self.budget) + COPY_BUDGET)
+        self.purse = min(PURSE_MOST, self.purse + PEER_COST / max(self.s.peer_charge, PEER_COST / PURSE_MOST))
         self._advance(request)
 
     def _advance(self, request: Request) -> None:
@@ -123,8 +123,7 @@
             if not out:
                 self._look_again(request, min(HOLD, last_call - self.now))
             return None
-        expected = self._expected(host, request.event.kind)
-        if first and expected > self._patience(request):
+        if first and self._expected(host, request.event.kind) > self._patience(request):
             return self._end(request)
         return self._send(request, host)
 
@@ -217,7 +216,7 @@
         host.credit -= 1
         if not host.out:
             host.active = self.now
-        attempt = Attempt(host, self.now, self._load(host))
+        attempt = Attempt(host, self.now, host.out + BASE)
         host.out += 1
         account.out += 1
         self.attempts[event.request, len(request.attempts)] = attempt, event.kind, account
@@ -246,21 +245,14 @@
         if event.answered:
             self._drop(request)
         elif not any(a.out for a in request.attempts):
-            if self._may_repeat(request):
-                self._advance(request)
-            else:
-                self._end(request)
+            (self._advance if self._may_repeat(request) else self._end)(request)
 
     def _may_repeat(self, request: Request) -> bool:
-        """A retry budget, so that failures do not multiply the load; attempts that never ran are free."""
-        if request.cls.effect is Effect.UNSAFE and any(a.ran for a in request.attempts):
-            return False
+        """A budget for further attempts, so that failures do not multiply the load; what never ran is free."""
         if not request.attempts[-1].ran:
             return True
-        if self.budget < 1:
-            return False
         self.budget -= 1
-        return True
+        return self.budget >= 0 and request.cls.effect is not Effect.UNSAFE
 
     def _end(self, request: Request) -> None:
         """Every final answer of ours passes here: refuse where a retry is harmless, else fail."""
@@ -307,15 +299,11 @@
         if event.kind is not ListKind.FAILED:
             self.ready = apply_list(self.hosts, event, self.now)
 
-    def _load(self, host: Host) -> float:
-        """Requests there: our own, those that a fresh report showed beyond them, and a few unknown ones."""
-        return host.out + host.others * math.exp((host.reported - self.now) / REPORT_FADE) + BASE
-
     def _expected(self, host: Host, kind: int) -> float:
         """The expected answer time: what requests met there, how the load changed, how long it is quiet."""
         fade = math.exp((host.seen - self.now) / FORGET)
         slow, fails = 1 + (host.slow - 1) * fade, 1 + FAIL_WEIGHT * host.fails * fade
-        time = self.usual[kind] * slow * fails * self._load(host) / host.typical
+        time = self.usual[kind] * slow * fails * (host.out + BASE) / host.typical
         if host.out:  # guards against a stalling or dead server: it answers nobody
             time = max(time, self.now - host.active)
         return time
@@ -338,25 +326,19 @@
             host.fails /= 2
         elif event.outcome not in (Outcome.CANCELLED, Outcome.NEVER_SENT):
             host.fails = min(FAIL_MOST, host.fails + 1)
-        self._report(host, event.report)
-
-    def _report(self, host: Host, report: tuple[float, ...]) -> None:
-        told = dict(zip(self.s.report_names, report, strict=False))
-        if "inflight" in told or "queue" in told:
-            host.others = 0.0 * max(0.0, told["inflight"] - host.out) if "inflight" in told else 0.0 * told["queue"]
-            host.reported = self.now
 
     # -- counts -------------------------------------------------------------------------------------------
 
-    def _account(self, customer: int, plan: int, first: int, size: int) -> Account:
-        account = self.accounts.get(customer)
-        if account is None:
+    def _account(self, customer: int, plan: int, first: int, size: int, trusted: bool) -> Account:
+        account, key = self.accounts.get(customer), (plan, first, size)
+        if account is None or trusted and key != account.key:  # a request's word goes before a peer's
             ranks = [(first + i) % self.s.gateways for i in range(min(size, self.s.gateways))]
             peers = tuple(r for r in ranks if r in self.peers)
-            account = Account(plan, first, max(1, size), peers, self.s.plans[plan].burst, self.now)
+            if account is None:
+                self.idle_queue.append(customer)
+            account = Account(key, plan, max(1, size), peers, self.s.plans[plan].burst, self.now)
             account.ceiling = self._ceiling_share(account, self.now - self.birth)
             self.accounts[customer] = account
-            self.idle_queue.append(customer)
         return account
 
     def _ceiling_share(self, account: Account, span: int, has: float = 0.0) -> float:
@@ -415,18 +397,18 @@
 
     def _turn(self) -> None:
         self.actions.append(api.SetTimer(self.interval, TURN))
-        if self.peers:
-            oldest = min(p.told for p in self.peers.values())
-            late = [r for r, p in self.peers.items() if p.told <= oldest + self.interval]
-            self._tell(self.random.choice(late))
+        late = [r for r, p in self.peers.items() if self.now - p.told >= self.silent_after // BEATS]
+        changed = [r for r, p in self.peers.items() if p.pending]
+        if late or changed:
+            self._tell(self.random.choice(late or changed), bool(late))
         self._drop_idle()
 
-    def _tell(self, rank: int) -> None:
-        """One message of the most pressing changes, where the peer's intake allows it."""
+    def _tell(self, rank: int, due: bool = False) -> None:
+        """One message of the most pressing changes, where the peer's intake and the price allow it."""
         peer = self.peers[rank]
         peer.allowance = min(2.0, peer.allowance + self.per_peer * (self.now - peer.filled) / SECOND)
         peer.filled = self.now
-        if peer.allowance < 1:
+        if peer.allowance < 1 or (self.purse <= 0 and not due):
             return
         peer.allowance -= 1
         peer.told = self.now
@@ -436,37 +418,34 @@
         # A new gateway's counts would replace those of its earlier life at its peers: first it hears them.
         deaf = any(not p.synced and not self._silent(p) for p in self.peers.values())
         self.new = self.new and deaf and self.now - self.birth <= RECOVER_FOR
-        if not self.new:
+        if not self.new and self.purse > 0:
             for customer in self._pressing(peer):
                 row = self._row(customer, peer.pending[customer], sent)
                 if len(row) > space:
                     break
                 del peer.pending[customer]
-                peer.owed.discard(customer)
                 space -= len(row)
                 rows.append(row)
-        caught_up = peer.birth >= 0 and not peer.owed
-        self.actions.append(api.TellPeer(rank, messages.pack(sent, birth, caught_up, rows)))
+        caught_up = peer.birth >= 0 and peer.owed.isdisjoint(peer.pending)
+        body = messages.pack(sent, birth, caught_up, rows)
+        self.purse -= len(body) / messages.SIZE_MOST
+        self.actions.append(api.TellPeer(rank, body))
 
     def _pressing(self, peer: Peer) -> list[int]:
-        """Changed customers, those with the least room first; forgotten ones are full and say nothing."""
-        for customer in [c for c in islice(peer.pending, LOOK_AT) if c not in self.accounts]:
-            del peer.pending[customer]
-            peer.owed.discard(customer)
+        """Changed customers, those with the least room for their burst first."""
 
         def room(customer: int) -> float:
             account = self.accounts[customer]
             return account.room / (self.s.plans[account.plan].burst or 1.0)
 
-        return sorted((c for c in islice(peer.pending, LOOK_AT) if c in self.accounts), key=room)
+        return sorted(islice(peer.pending, LOOK_AT), key=room)
 
     def _row(self, customer: int, bits: int, sent: int) -> bytes:
         account = self.accounts[customer]
         self._lift(account)
         counts = tuple((r, *account.counts[r]) for r in sorted(account.counts) if bits >> r & 1)
         limit = max(0.0, account.limit - account.held)
-        key = customer, account.plan, account.first, account.size
-        return messages.pack_row(messages.Row(*key, account.out, limit, counts), sent)
+        return messages.pack_row(messages.Row(customer, *account.key, account.out, limit, counts), sent)
 
     def _peer_said(self, event: api.PeerMessage) -> None:
         latest = self.now // MS + FUTURE_MOST
@@ -474,6 +453,8 @@
         peer = self.peers.get(event.sender)
         if peer is None or message is None or message.birth < peer.birth:
             return
+        if message.sent < (self.now - self.silent_after) // MS:
+            return
         anew = message.birth > peer.birth or self._silent(peer)
         peer.heard, peer.birth = self.now, message.birth
         if anew:  # it has started, or was cut off: it has to be told everything that its set shares
@@ -489,7 +470,7 @@
 
     def _merge(self, row: messages.Row, teller: int, sent: int) -> None:
         """Newer start, then larger value; the larger limit."""
-        account = self._account(row.customer, row.plan, row.set_first, row.set_size)
+        account = self._account(row.customer, row.plan, row.set_first, row.set_size, trusted=False)
         plan, bits = self.s.plans[account.plan], 0
         self._lift(account)
         for rank, start, value in row.counts:
@@ -524,5 +505,7 @@
             idle = account.room >= plan.burst and not account.held and not account.out
             if idle and account.ceiling >= plan.ceiling_burst / account.size:
                 del self.accounts[customer]
+                for rank in account.peers:
+                    self.peers[rank].pending.pop(customer, None)
             else:
                 self.idle_queue.append(customer)
--- a/orchidlane/state.py
+++ b/orchidlane/state.py
@@ -11,8 +11,8 @@
 class Account:
     """One customer: counts by rank as (start in ms, value), the limit, and what is held back."""
 
+    key: tuple[int, int, int]  # plan, first gateway and size of its set, as told
     plan: int
-    first: int
     size: int
     peers: tuple[int, ...]  # the other gateways of its set
     limit: float
@@ -49,8 +49,6 @@
     out: int = 0
     active: int = 0  # last answer, or when the first of those out was sent
     typical: float = 2.0  # load that its answer times were met under
-    others: float = 0.0  # requests of others there by its last report
-    reported: int = 0  # when that came
     credit: float = 0.0  # sends that its cold start allows
 
     def shares(self, group: api.Group) -> int:
