--- a/orchidlane/interface.py
+++ b/orchidlane/interface.py
@@ -8,6 +8,7 @@
 
 import enum
 from dataclasses import dataclass
+from typing import ClassVar
 
 Server = bytes
 
@@ -142,6 +143,8 @@
 class ServerListed:
     """Discovery told something."""
 
+    topic: ClassVar[str] = "server_listed"
+
     kind: ListKind
     version: int
     entries: tuple[ServerEntry, ...]
@@ -151,6 +154,8 @@
 class RequestArrived:
     """A client's request; the set names the gateways that the customer may use."""
 
+    topic: ClassVar[str] = "request_arrived"
+
     request: int
     customer: int
     plan: int
@@ -166,6 +171,8 @@
 class AttemptEnded:
     """An attempt's outcome; answered means that the request needs no more answer."""
 
+    topic: ClassVar[str] = "attempt_ended"
+
     request: int
     attempt: int
     server: Server
@@ -181,6 +188,8 @@
 class StreamStarted:
     """A streamed answer has begun: no deadline runs any more."""
 
+    topic: ClassVar[str] = "stream_started"
+
     request: int
     attempt: int
     server: Server
@@ -191,6 +200,8 @@
 class ClientGone:
     """The client left; nothing more is owed."""
 
+    topic: ClassVar[str] = "client_gone"
+
     request: int
 
 
@@ -198,6 +209,8 @@
 class TimerFired:
     """A timer that was set is up."""
 
+    topic: ClassVar[str] = "timer_fired"
+
     token: int
 
 
@@ -205,6 +218,8 @@
 class ProbeEnded:
     """What came of a probe."""
 
+    topic: ClassVar[str] = "probe_ended"
+
     server: Server
     outcome: Outcome
     took: int
@@ -215,6 +230,8 @@
 class PeerMessage:
     """Bytes from another gateway; untrusted."""
 
+    topic: ClassVar[str] = "peer_message"
+
     sender: int
     body: bytes
 
@@ -223,6 +240,8 @@
 class CounterAnswered:
     """What came of a call to the shared counter."""
 
+    topic: ClassVar[str] = "counter_answered"
+
     name: int
     outcome: Outcome
     value: float
--- a/orchidlane/messages.py
+++ b/orchidlane/messages.py
@@ -10,6 +10,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterable
 from dataclasses import dataclass
 
 FORMAT = 1
@@ -75,6 +76,18 @@
     return bytes(out)
 
 
+def fit(rows: Iterable[bytes]) -> list[bytes]:
+    """As many of the rows, from the first on, as one message holds."""
+    taken: list[bytes] = []
+    space = ROWS_MOST
+    for row in rows:
+        space -= len(row)
+        if space < 0:
+            break
+        taken.append(row)
+    return taken
+
+
 def pack(sent: int, birth: int, caught_up: bool, rows: list[bytes]) -> bytes:
     """A whole message."""
     return (
--- a/orchidlane/rules.py
+++ b/orchidlane/rules.py
@@ -9,27 +9,24 @@
 
 import math
 import random
-from collections import deque
 from itertools import islice
 
 from . import interface as api
 from . import messages
 from .interface import Effect, Group, ListKind, Outcome, Phase
-from .state import Account, Attempt, Host, Peer, Request, apply_list
+from .state import Account, Attempt, Host, Memory, Peer, Request, apply_list
 
 MS, SECOND = 1_000, 1_000_000  # microseconds
 
 # Gossip
 INTAKE_SHARE = 0.8  # of a peer's intake that all senders together may fill: the rest is for jitter
 INTERVAL_LEAST = 30 * MS  # between two gossip turns: below it messages say little more
-INTERVAL_MOST = 100 * MS  # above it two gateways often grant the same units
 SILENT_AFTER = 10  # mean gossip gaps of one peer without a word: rarely chance, soon enough for a cut
 BEATS = 4  # words to a peer in the time after which it would take us for silent
 PEER_COST = 0.012  # of the worth asked for, at most, that messages may cost
 PURSE_MOST = 30.0  # full messages saved up
 RECOVER_FOR = 1_500 * MS  # a new gateway waits so long for its peers' counts before it tells its own
-LOOK_AT = 48  # changed customers looked at for one message, to bound the work
-IDLE_LOOK = 16  # customers looked at in a turn for being idle and full
+LOOK_AT = 32  # customers looked at for one message or for being idle, to bound the work
 FUTURE_MOST = 1_000  # ms that a peer's clock may be ahead before its message is not believed
 TIGHT = 0.5  # of the burst: with less room than this a customer's counts leave at once
 
@@ -41,10 +38,11 @@
 SLOW_MOST = 8.0  # times the idle answer time that one answer may count for
 FAIL_WEIGHT = 3.0  # an attempt that failed makes a server look this much slower
 FAIL_MOST = 4.0  # failures remembered at most
+ZONE_WEIGHT = 4.0  # times the charge for crossing zones, by which a far server looks slower
 CHOICES = 12  # servers compared for one request
 SPREAD = 0.1  # random part of a comparison, against herding of gateways
 COLD_CARE = 0.9  # of the fair share of a cold server's least capacity that is used
-RATE_OVER = 4 * SECOND  # over which the send rate is averaged
+GAP_LEARN = 0.02  # weight of the newest gap between our sends
 
 # Attempts
 LEAVE = 30 * MS  # before the client's time is up, a held request is ended
@@ -56,52 +54,36 @@
 TURN = 0  # the token of the gossip timer; a request's timer has its id + 1
 
 
-class Gateway:
+class Gateway(Memory):
     """One gateway's decisions: feed events with the clock, carry out the actions."""
 
     def __init__(self, settings: api.Settings, seed: int, now: int) -> None:
+        super().__init__()
         self.s, self.random, self.now = settings, random.Random(seed), now
         self.birth, self.rank, self.new = now, settings.rank, True
-        self.accounts: dict[int, Account] = {}
-        self.idle_queue: deque[int] = deque()
-        self.hosts: dict[api.Server, Host] = {}
-        self.ready: list[Host] = []
-        self.requests: dict[int, Request] = {}
-        self.attempts: dict[tuple[int, int], tuple[Attempt, int, Account]] = {}
         self.usual = [START_OF_AIM * c.aim for c in settings.classes]
-        self.dearest = 0.0
         self.budget, self.purse = COPY_MOST, PURSE_MOST
-        self.send_rate, self.rate_at = 0.0, now
+        self.gap, self.last_send, self.dearest = float(SECOND), now, 0.0
         peers = [r for r in range(settings.gateways) if r != self.rank] if settings.may_tell_peers else []
         self.peers = {r: Peer(heard=now - SILENT_AFTER * SECOND, told=now, filled=now) for r in peers}
         self.per_peer = INTAKE_SHARE * settings.peer_intake / max(1, settings.gateways - 1)
         fair = SECOND / max(self.per_peer * max(1, len(peers)), 0.1)
-        self.interval = int(max(INTERVAL_LEAST, min(INTERVAL_MOST, fair)))
+        self.interval = int(max(INTERVAL_LEAST, fair))
         self.silent_after = SILENT_AFTER * self.interval * max(1, len(peers))
-        self.actions: list[api.Action] = []
-        self.handlers = {
-            api.RequestArrived: self._arrived,
-            api.AttemptEnded: self._ended,
-            api.TimerFired: self._timer,
-            api.PeerMessage: self._peer_said,
-            api.ServerListed: self._listed,
-            api.ClientGone: self._client_gone,
-        }
 
     def start(self) -> list[api.Action]:
-        self.actions = [api.SetTimer(self.interval, TURN)]
-        if self.s.asks_for_list:
-            self.actions.append(api.AskList())
-        return self.actions
+        """The first actions, once the gateway is up."""
+        return [api.SetTimer(self.interval, TURN)] + [api.AskList()] * self.s.asks_for_list
 
     def handle(self, now: int, event: api.Event) -> list[api.Action]:
+        """What to do about one event: each goes to the method of its topic."""
         self.now, self.actions = now, []
-        self.handlers.get(type(event), lambda _: None)(event)
+        getattr(self, f"_{event.topic}")(event)
         return self.actions
 
     # -- a request arrives, is admitted, and is sent ------------------------------------------------------
 
-    def _arrived(self, event: api.RequestArrived) -> None:
+    def _request_arrived(self, event: api.RequestArrived) -> None:
         account = self._account(event.customer, event.plan, event.set_first, event.set_size, trusted=True)
         request = Request(event, self.s.classes[event.kind], account, self.now + event.time_left)
         self.requests[event.request] = request
@@ -163,10 +145,8 @@
             if not self._may_send(request, host):
                 continue
             cost = self._expected(host, request.event.kind) * (1 + SPREAD * self.random.random())
-            if host.entry.zone != self.s.zone:
-                cost *= 1 + 4 * self.s.cross_zone_charge
-            if any(a.host is host for a in request.attempts):
-                cost *= 1 + FAIL_WEIGHT
+            cost *= 1 + ZONE_WEIGHT * self.s.cross_zone_charge * (host.entry.zone != self.s.zone)
+            cost *= 1 + FAIL_WEIGHT * any(a.host is host for a in request.attempts)
             if cost < best_cost:
                 best, best_cost = host, cost
         return best
@@ -193,26 +173,18 @@
         if not host.entry.launched or age >= self.s.warm_within:
             return True
         ramp = self.s.cold_from + (1 - self.s.cold_from) * max(0, age) / self.s.warm_within
-        rate = COLD_CARE * ramp * self._rate() / len(self.ready)
-        host.credit = min(1.0, host.credit + rate * (self.now - host.credited) / SECOND)
+        gap = max(self.gap, self.now - self.last_send) * len(self.ready)
+        host.credit = min(1.0, host.credit + COLD_CARE * ramp * (self.now - host.credited) / gap)
         host.credited = self.now
         return host.credit >= 1.0
 
-    def _rate(self) -> float:
-        """Our sends a second, averaged."""
-        span = self.now - self.rate_at
-        if span > 0:
-            self.send_rate *= math.exp(-span / RATE_OVER)
-            self.rate_at = self.now
-        return self.send_rate * SECOND / RATE_OVER
-
     def _send(self, request: Request, host: Host) -> None:
         """Every send passes here."""
         event, account = request.event, request.account
         if not request.attempts:
             self._spend(event.customer, account, event.units)
-        self._rate()
-        self.send_rate += 1
+        self.gap += GAP_LEARN * (self.now - self.last_send - self.gap)
+        self.last_send = self.now
         host.credit -= 1
         if not host.out:
             host.active = self.now
@@ -230,7 +202,7 @@
 
     # -- what becomes of it -------------------------------------------------------------------------------
 
-    def _ended(self, event: api.AttemptEnded) -> None:
+    def _attempt_ended(self, event: api.AttemptEnded) -> None:
         known = self.attempts.pop((event.request, event.attempt), None)
         if known is None:
             return
@@ -240,15 +212,13 @@
         attempt.ran = event.outcome not in (Outcome.FULL, Outcome.NOT_CONNECTED, Outcome.NEVER_SENT)
         account.out -= 1
         request = self.requests.get(event.request)
-        if request is None:
-            return
-        if event.answered:
+        if request and event.answered:
             self._drop(request)
-        elif not any(a.out for a in request.attempts):
+        elif request and not any(a.out for a in request.attempts):
             (self._advance if self._may_repeat(request) else self._end)(request)
 
     def _may_repeat(self, request: Request) -> bool:
-        """A budget for further attempts, so that failures do not multiply the load; what never ran is free."""
+        """A budget for further attempts: failures must not multiply the load. What never ran is free."""
         if not request.attempts[-1].ran:
             return True
         self.budget -= 1
@@ -273,11 +243,19 @@
                 if attempt.out:
                     self.actions.append(api.Cancel(request.event.request, number))
 
+    def _not_used(self, event: api.Event) -> None:
+        """Neither probes nor the counter are asked: measured or left out, see docs/design.md."""
+
+    _probe_ended = _counter_answered = _not_used
+
+    def _stream_started(self, event: api.StreamStarted) -> None:
+        self.requests.pop(event.request, None)
+
     def _client_gone(self, event: api.ClientGone) -> None:
         if request := self.requests.get(event.request):
             self._drop(request)
 
-    def _timer(self, event: api.TimerFired) -> None:
+    def _timer_fired(self, event: api.TimerFired) -> None:
         if event.token == TURN:
             return self._turn()
         request = self.requests.get(event.token - 1)
@@ -295,7 +273,7 @@
 
     # -- servers ------------------------------------------------------------------------------------------
 
-    def _listed(self, event: api.ServerListed) -> None:
+    def _server_listed(self, event: api.ServerListed) -> None:
         if event.kind is not ListKind.FAILED:
             self.ready = apply_list(self.hosts, event, self.now)
 
@@ -331,7 +309,7 @@
 
     def _account(self, customer: int, plan: int, first: int, size: int, trusted: bool) -> Account:
         account, key = self.accounts.get(customer), (plan, first, size)
-        if account is None or trusted and key != account.key:  # a request's word goes before a peer's
+        if account is None or (trusted and key != account.key):  # a request goes before a peer
             ranks = [(first + i) % self.s.gateways for i in range(min(size, self.s.gateways))]
             peers = tuple(r for r in ranks if r in self.peers)
             if account is None:
@@ -349,8 +327,7 @@
 
     def _unheard(self, account: Account) -> float:
         """The part of the set that has not been heard lately, or not yet since it or we started."""
-        peers = [self.peers[r] for r in account.peers]
-        return sum(not p.synced or self._silent(p) for p in peers) / account.size
+        return sum(not p.synced or self._silent(p) for p in map(self.peers.get, account.peers)) / account.size
 
     def _silent(self, peer: Peer) -> bool:
         return self.now - peer.heard > self.silent_after
@@ -412,48 +389,41 @@
             return
         peer.allowance -= 1
         peer.told = self.now
-        sent, birth = self.now // MS, self.birth // MS
-        rows: list[bytes] = []
-        space = messages.ROWS_MOST
         # A new gateway's counts would replace those of its earlier life at its peers: first it hears them.
         deaf = any(not p.synced and not self._silent(p) for p in self.peers.values())
         self.new = self.new and deaf and self.now - self.birth <= RECOVER_FOR
-        if not self.new and self.purse > 0:
-            for customer in self._pressing(peer):
-                row = self._row(customer, peer.pending[customer], sent)
-                if len(row) > space:
-                    break
-                del peer.pending[customer]
-                space -= len(row)
-                rows.append(row)
+        changed = (
+            [] if self.new or self.purse <= 0 else sorted(islice(peer.pending, LOOK_AT), key=self._spare)
+        )
+        rows = messages.fit(self._row(customer, peer.pending[customer]) for customer in changed)
+        for customer in changed[: len(rows)]:
+            del peer.pending[customer]
         caught_up = peer.birth >= 0 and peer.owed.isdisjoint(peer.pending)
-        body = messages.pack(sent, birth, caught_up, rows)
+        body = messages.pack(self.now // MS, self.birth // MS, caught_up, rows)
         self.purse -= len(body) / messages.SIZE_MOST
         self.actions.append(api.TellPeer(rank, body))
 
-    def _pressing(self, peer: Peer) -> list[int]:
-        """Changed customers, those with the least room for their burst first."""
-
-        def room(customer: int) -> float:
-            account = self.accounts[customer]
-            return account.room / (self.s.plans[account.plan].burst or 1.0)
-
-        return sorted(islice(peer.pending, LOOK_AT), key=room)
+    def _spare(self, customer: int) -> float:
+        """The part of its burst that a customer has left: the least goes out first."""
+        account = self.accounts[customer]
+        return account.room / (self.s.plans[account.plan].burst or 1.0)
 
-    def _row(self, customer: int, bits: int, sent: int) -> bytes:
+    def _row(self, customer: int, bits: int) -> bytes:
         account = self.accounts[customer]
         self._lift(account)
         counts = tuple((r, *account.counts[r]) for r in sorted(account.counts) if bits >> r & 1)
         limit = max(0.0, account.limit - account.held)
-        return messages.pack_row(messages.Row(customer, *account.key, account.out, limit, counts), sent)
+        return messages.pack_row(
+            messages.Row(customer, *account.key, account.out, limit, counts), self.now // MS
+        )
 
-    def _peer_said(self, event: api.PeerMessage) -> None:
+    def _peer_message(self, event: api.PeerMessage) -> None:
         latest = self.now // MS + FUTURE_MOST
         message = messages.unpack(event.body, latest, self.s.gateways, len(self.s.plans))
         peer = self.peers.get(event.sender)
         if peer is None or message is None or message.birth < peer.birth:
             return
-        if message.sent < (self.now - self.silent_after) // MS:
+        if message.sent < (self.now - self.silent_after) // MS:  # late or replayed
             return
         anew = message.birth > peer.birth or self._silent(peer)
         peer.heard, peer.birth = self.now, message.birth
@@ -497,7 +467,7 @@
 
     def _drop_idle(self) -> None:
         """Full and idle accounts say nothing: forgotten a few a turn, one-off customers cost no memory."""
-        for _ in range(min(IDLE_LOOK, len(self.idle_queue))):
+        for _ in range(min(LOOK_AT, len(self.idle_queue))):
             customer = self.idle_queue.popleft()
             account = self.accounts[customer]
             plan = self.s.plans[account.plan]
--- a/orchidlane/state.py
+++ b/orchidlane/state.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import deque
 from dataclasses import dataclass, field, replace
 
 from . import interface as api
@@ -92,6 +93,19 @@
     owed: set[int] = field(default_factory=set)  # customers of the first transfer that are still to come
 
 
+class Memory:
+    """All that a gateway holds, empty at its start."""
+
+    def __init__(self) -> None:
+        self.accounts: dict[int, Account] = {}
+        self.idle_queue: deque[int] = deque()  # customers, in the order of their next look
+        self.hosts: dict[api.Server, Host] = {}
+        self.ready: list[Host] = []
+        self.requests: dict[int, Request] = {}
+        self.attempts: dict[tuple[int, int], tuple[Attempt, int, Account]] = {}
+        self.actions: list[api.Action] = []
+
+
 def apply_list(hosts: dict[api.Server, Host], event: api.ServerListed, now: int) -> list[Host]:
     """Bring the servers up to date with discovery; those ready, in the order of their names."""
     told = {entry.server: entry for entry in event.entries}
