--- a/orchidlane/rules.py
+++ b/orchidlane/rules.py
@@ -67,8 +67,7 @@
         peers = [r for r in range(settings.gateways) if r != self.rank] if settings.may_tell_peers else []
         self.peers = {r: Peer(heard=now - SILENT_AFTER * SECOND, told=now, filled=now) for r in peers}
         self.per_peer = INTAKE_SHARE * settings.peer_intake / max(1, settings.gateways - 1)
-        fair = SECOND / max(self.per_peer * max(1, len(peers)), 0.1)
-        self.interval = int(max(INTERVAL_LEAST, fair))
+        self.interval = int(max(INTERVAL_LEAST, SECOND / max(0.1, self.per_peer * len(peers))))
         self.silent_after = SILENT_AFTER * self.interval * max(1, len(peers))
 
     def start(self) -> list[api.Action]:
@@ -78,7 +77,8 @@
     def handle(self, now: int, event: api.Event) -> list[api.Action]:
         """What to do about one event: each goes to the method of its topic."""
         self.now, self.actions = now, []
-        getattr(self, f"_{event.topic}")(event)
+        if method := getattr(self, f"_{event.topic}", None):  # neither probes nor the counter are asked
+            method(event)
         return self.actions
 
     # -- a request arrives, is admitted, and is sent ------------------------------------------------------
@@ -121,35 +121,27 @@
             others = sum(n for n, at in account.peers_out.values() if at >= fresh)
             if account.out + others >= plan.open:
                 return False
-        if not plan.rate:
-            return True
         held = account.held if self.rank in account.counts else 0.0  # a new one gets one request at least
-        return account.room - held >= event.units
+        return not plan.rate or account.room - held >= event.units
 
     def _patience(self, request: Request) -> float:
         """The longest expected answer time at which a request is let in: longer the more its work earns."""
-        event = request.event
-        earns = request.cls.worth * self.s.plans[event.plan].price * event.units / self.usual[event.kind]
+        event, usual = request.event, self.usual[request.event.kind]
+        earns = request.cls.worth * self.s.plans[event.plan].price * event.units / usual
         self.dearest = max(self.dearest * 0.999, earns)
         share = SHED_LOW + (SHED_HIGH - SHED_LOW) * earns / self.dearest
-        usual = self.usual[event.kind]
         return usual + share * max(0.0, min(request.cls.aim, event.time_left) - usual)
 
     def _choose(self, request: Request) -> Host | None:
         """The server that should answer soonest among those that the rules allow for this request."""
-        hosts = self.ready
-        if len(hosts) > CHOICES:
-            hosts = self.random.sample(hosts, CHOICES)
-        best, best_cost = None, math.inf
-        for host in hosts:
-            if not self._may_send(request, host):
-                continue
-            cost = self._expected(host, request.event.kind) * (1 + SPREAD * self.random.random())
-            cost *= 1 + ZONE_WEIGHT * self.s.cross_zone_charge * (host.entry.zone != self.s.zone)
-            cost *= 1 + FAIL_WEIGHT * any(a.host is host for a in request.attempts)
-            if cost < best_cost:
-                best, best_cost = host, cost
-        return best
+        some = self.ready if len(self.ready) <= CHOICES else self.random.sample(self.ready, CHOICES)
+        usable = [host for host in some if self._may_send(request, host)]
+        return min(usable, key=lambda host: self._cost(request, host), default=None)
+
+    def _cost(self, request: Request, host: Host) -> float:
+        cost = self._expected(host, request.event.kind) * (1 + SPREAD * self.random.random())
+        cost *= 1 + ZONE_WEIGHT * self.s.cross_zone_charge * (host.entry.zone != self.s.zone)
+        return cost * (1 + FAIL_WEIGHT * any(a.host is host for a in request.attempts))
 
     def _may_send(self, request: Request, host: Host) -> bool:
         """Rules 2, 3 and 4 for one send."""
@@ -228,11 +220,11 @@
         """Every final answer of ours passes here: refuse where a retry is harmless, else fail."""
         cls = request.cls
         ran = any(a.ran for a in request.attempts)
-        keyed_anywhere = cls.effect is Effect.KEYED and cls.group is Group.ALL
-        if not ran or cls.effect is Effect.SAFE or keyed_anywhere:
-            self.actions.append(api.Refuse(request.event.request, 0))
-        else:
-            self.actions.append(api.Fail(request.event.request))
+        harmless = (
+            not ran or cls.effect is Effect.SAFE or (cls.effect, cls.group) == (Effect.KEYED, Group.ALL)
+        )
+        number = request.event.request
+        self.actions.append(api.Refuse(number, 0) if harmless else api.Fail(number))
         self._drop(request)
 
     def _drop(self, request: Request) -> None:
@@ -243,11 +235,6 @@
                 if attempt.out:
                     self.actions.append(api.Cancel(request.event.request, number))
 
-    def _not_used(self, event: api.Event) -> None:
-        """Neither probes nor the counter are asked: measured or left out, see docs/design.md."""
-
-    _probe_ended = _counter_answered = _not_used
-
     def _stream_started(self, event: api.StreamStarted) -> None:
         self.requests.pop(event.request, None)
 
@@ -327,7 +314,8 @@
 
     def _unheard(self, account: Account) -> float:
         """The part of the set that has not been heard lately, or not yet since it or we started."""
-        return sum(not p.synced or self._silent(p) for p in map(self.peers.get, account.peers)) / account.size
+        heard = sum(self.peers[r].synced and not self._silent(self.peers[r]) for r in account.peers)
+        return max(0, account.size - 1 - heard) / account.size
 
     def _silent(self, peer: Peer) -> bool:
         return self.now - peer.heard > self.silent_after
@@ -340,12 +328,8 @@
         used = account.used
         account.limit += plan.rate * span / SECOND
         unheard = self._unheard(account)
-        if unheard and not account.unheard:
-            account.held = unheard * max(0.0, min(plan.burst, account.limit - used))
-        elif unheard:
-            account.held += unheard * plan.rate * span / SECOND
-        else:
-            account.held = 0.0
+        may_spend = plan.rate * span / SECOND if account.unheard else min(plan.burst, account.limit - used)
+        account.held = account.held + unheard * max(0.0, may_spend) if unheard else 0.0
         account.unheard = unheard
         most = used + account.held + plan.burst * (1 - unheard)
         # Debt: what went beyond the quota took nothing from the true store, so the limit never lies below.
@@ -365,10 +349,8 @@
                 self._tell(rank)
 
     def _changed(self, customer: int, account: Account, bits: int, teller: int | None) -> None:
-        for rank in account.peers:
-            if rank != teller:
-                pending = self.peers[rank].pending
-                pending[customer] = pending.get(customer, 0) | bits
+        for peer in [self.peers[r] for r in account.peers if r != teller]:
+            peer.pending[customer] = peer.pending.get(customer, 0) | bits
 
     # -- gossip -------------------------------------------------------------------------------------------
 
@@ -387,14 +369,12 @@
         peer.filled = self.now
         if peer.allowance < 1 or (self.purse <= 0 and not due):
             return
-        peer.allowance -= 1
-        peer.told = self.now
+        peer.allowance, peer.told = peer.allowance - 1, self.now
         # A new gateway's counts would replace those of its earlier life at its peers: first it hears them.
         deaf = any(not p.synced and not self._silent(p) for p in self.peers.values())
         self.new = self.new and deaf and self.now - self.birth <= RECOVER_FOR
-        changed = (
-            [] if self.new or self.purse <= 0 else sorted(islice(peer.pending, LOOK_AT), key=self._spare)
-        )
+        pending = () if self.new or self.purse <= 0 else islice(peer.pending, LOOK_AT)
+        changed = sorted(pending, key=self._spare)
         rows = messages.fit(self._row(customer, peer.pending[customer]) for customer in changed)
         for customer in changed[: len(rows)]:
             del peer.pending[customer]
@@ -413,30 +393,24 @@
         self._lift(account)
         counts = tuple((r, *account.counts[r]) for r in sorted(account.counts) if bits >> r & 1)
         limit = max(0.0, account.limit - account.held)
-        return messages.pack_row(
-            messages.Row(customer, *account.key, account.out, limit, counts), self.now // MS
-        )
+        row = messages.Row(customer, *account.key, account.out, limit, counts)
+        return messages.pack_row(row, self.now // MS)
 
     def _peer_message(self, event: api.PeerMessage) -> None:
         latest = self.now // MS + FUTURE_MOST
         message = messages.unpack(event.body, latest, self.s.gateways, len(self.s.plans))
         peer = self.peers.get(event.sender)
-        if peer is None or message is None or message.birth < peer.birth:
-            return
-        if message.sent < (self.now - self.silent_after) // MS:  # late or replayed
+        stale = (self.now - self.silent_after) // MS
+        if not (peer and message and message.birth >= peer.birth and message.sent >= stale):
             return
         anew = message.birth > peer.birth or self._silent(peer)
         peer.heard, peer.birth = self.now, message.birth
         if anew:  # it has started, or was cut off: it has to be told everything that its set shares
-            peer.synced = False
-            for customer, account in self.accounts.items():
-                if event.sender in account.peers:
-                    peer.pending[customer] = -1
+            peer.pending.update((c, -1) for c, a in self.accounts.items() if event.sender in a.peers)
             peer.owed = set(peer.pending)
         for row in message.rows:
             self._merge(row, event.sender, message.sent)
-        if message.caught_up:
-            peer.synced = True
+        peer.synced = message.caught_up or (peer.synced and not anew)
 
     def _merge(self, row: messages.Row, teller: int, sent: int) -> None:
         """Newer start, then larger value; the larger limit."""
@@ -470,12 +444,11 @@
         for _ in range(min(LOOK_AT, len(self.idle_queue))):
             customer = self.idle_queue.popleft()
             account = self.accounts[customer]
-            plan = self.s.plans[account.plan]
             self._lift(account)
-            idle = account.room >= plan.burst and not account.held and not account.out
-            if idle and account.ceiling >= plan.ceiling_burst / account.size:
-                del self.accounts[customer]
-                for rank in account.peers:
-                    self.peers[rank].pending.pop(customer, None)
-            else:
+            full = account.ceiling >= self.s.plans[account.plan].ceiling_burst / account.size
+            if account.out or account.held or not full or self._spare(customer) < 1:
                 self.idle_queue.append(customer)
+                continue
+            del self.accounts[customer]
+            for rank in account.peers:
+                self.peers[rank].pending.pop(customer, None)
