--- a/orchidlane/rules.py
+++ b/orchidlane/rules.py
@@ -219,12 +219,9 @@
     def _end(self, request: Request) -> None:
         """Every final answer of ours passes here: refuse where a retry is harmless, else fail."""
         cls = request.cls
-        ran = any(a.ran for a in request.attempts)
-        harmless = (
-            not ran or cls.effect is Effect.SAFE or (cls.effect, cls.group) == (Effect.KEYED, Group.ALL)
-        )
-        number = request.event.request
-        self.actions.append(api.Refuse(number, 0) if harmless else api.Fail(number))
+        ran, number = any(a.ran for a in request.attempts), request.event.request
+        repeats = cls.effect is Effect.SAFE or (cls.effect is Effect.KEYED and cls.group is Group.ALL)
+        self.actions.append(api.Refuse(number, 0) if repeats or not ran else api.Fail(number))
         self._drop(request)
 
     def _drop(self, request: Request) -> None:
--- a/orchidlane/wirehost.py
+++ b/orchidlane/wirehost.py
@@ -5,6 +5,7 @@
 import sys
 from typing import BinaryIO
 
+from . import interface as api
 from . import wire
 from .rules import Gateway
 
@@ -25,8 +26,13 @@
         count, length, now = wire.HEADER.unpack(head)
         encoder = wire.Encoder()
         for number, event in decoder.frame(count, _read(source, length)):
+            if isinstance(event, wire.Stop):
+                gateways.pop(number, None)
+                continue
+            if not isinstance(event, wire.Start) and number not in gateways:
+                raise wire.WireError(f"event for gateway {number}, which never started")
             try:
-                actions = _feed(gateways, number, event, now)
+                actions = _decide(gateways, number, event, now)
             except Exception as failure:  # the wire wants every failure of the decisions as a record
                 encoder.bug(number, f"{type(failure).__name__}: {failure}")
                 continue
@@ -36,16 +42,12 @@
         sink.flush()
 
 
-def _feed(gateways: dict[int, Gateway], number: int, event, now: int) -> list:
-    match event:
-        case wire.Start():
-            gateways[number] = Gateway(event.settings, event.seed, now)
-            return gateways[number].start()
-        case wire.Stop():
-            gateways.pop(number, None)
-            return []
-    if number not in gateways:
-        raise wire.WireError(f"event for gateway {number}, which never started")
+def _decide(
+    gateways: dict[int, Gateway], number: int, event: wire.Start | api.Event, now: int
+) -> list[api.Action]:
+    if isinstance(event, wire.Start):
+        gateways[number] = Gateway(event.settings, event.seed, now)
+        return gateways[number].start()
     return gateways[number].handle(now, event)
 
 
--- /dev/null
+++ b/tests/test_servers.py
@@ -0,0 +1,119 @@
+"""What the choice of server, the retries and the shedding have to withstand."""
+
+from __future__ import annotations
+
+from conftest import SECOND, Bench, entry, listed, of
+
+from orchidlane import interface as api
+from orchidlane.interface import Outcome
+
+
+def serve(bench: Bench, request: int, took) -> api.Send | None:
+    """Ask, and answer at once with a time by server; the send, if there was one."""
+    sends = of(bench.ask(request, customer=request, left=2 * SECOND), api.Send)
+    if not sends:
+        return None
+    bench.run(10_000)
+    bench.outcome(request, sends[0].server, Outcome.SERVED, took=took(sends[0].server))
+    return sends[0]
+
+
+def test_a_jam_ends_when_its_cause_does():
+    """An answer time learnt in a jam must not refuse everything for good (lockout of an incident)."""
+    bench = Bench(servers=3)
+    for request in range(1, 200):
+        serve(bench, request, lambda _: 3 * SECOND)
+    bench.run(10 * SECOND)
+    assert sum(serve(bench, r, lambda _: 20_000) is not None for r in range(200, 240)) > 30
+
+
+def test_slow_servers_get_less_and_come_back():
+    bench = Bench(servers=4)
+    slow = entry(0).server
+
+    def part(first: int, took) -> float:
+        sends = [s for r in range(first, first + 120) if (s := serve(bench, r, took))]
+        return sum(s.server == slow for s in sends) / len(sends)
+
+    assert part(1, lambda server: 200_000 if server == slow else 30_000) < 0.1
+    bench.run(15 * SECOND)
+    assert part(500, lambda _: 30_000) > 0.12
+
+
+def test_a_server_that_refuses_connections_is_left_alone():
+    bench = Bench(servers=4)
+    dead, tried = entry(0).server, 0
+    for request in range(1, 101):
+        send = of(bench.ask(request, customer=request), api.Send)[0]
+        attempt = 0
+        while send.server == dead:
+            tried += 1
+            send = of(bench.outcome(request, dead, Outcome.NOT_CONNECTED, attempt=attempt), api.Send)[0]
+            attempt += 1
+        bench.run(5_000)
+        bench.outcome(request, send.server, Outcome.SERVED, attempt=attempt, took=30_000)
+    assert tried <= 5
+
+
+def test_when_all_servers_fail_none_is_put_aside_for_good():
+    bench = Bench(servers=3)
+    for request in range(1, 30):
+        out, attempt = of(bench.ask(request, customer=request), api.Send), 0
+        while out:
+            out = of(bench.outcome(request, out[0].server, Outcome.NOT_CONNECTED, attempt=attempt), api.Send)
+            attempt += 1
+    bench.run(10 * SECOND)
+    sends = [s for r in range(50, 62) for s in of(bench.ask(r, customer=r), api.Send)]
+    assert len({s.server for s in sends}) == 3
+
+
+def test_errors_do_not_multiply_the_load():
+    bench = Bench(servers=4)
+    sends = 0
+    for request in range(1, 201):
+        out = of(bench.ask(request, customer=request), api.Send)
+        attempt = 0
+        while out:
+            sends += 1
+            out = of(bench.outcome(request, out[0].server, Outcome.ERROR, attempt=attempt), api.Send)
+            attempt += 1
+        bench.run(50_000)
+    assert sends < 200 * 1.15
+
+
+def test_overload_is_refused_at_once_and_the_cheap_first():
+    cheap, dear = api.Plan(50.0, 500.0, 0, 0.5, 0, 1, 0, 0, 0), api.Plan(50.0, 500.0, 0, 2.0, 0, 1, 0, 0, 0)
+    bench = Bench(servers=2, plans=(cheap, dear))
+    for request in range(1, 41):
+        serve(bench, request, lambda _: 60_000)
+    out = {0: 0, 1: 0}
+    for request in range(100, 200):
+        plan = request % 2
+        out[plan] += len(of(bench.ask(request, customer=request, plan=plan), api.Send))
+    assert 0 < out[0] < out[1] < 50
+
+
+def test_an_idle_slow_kind_is_not_shed():
+    """The usual answer time itself is no reason to refuse, however near to the aim it is."""
+    bench = Bench(servers=1)
+    assert all(serve(bench, r, lambda _: 110_000) for r in range(1, 60))
+
+
+def test_two_alike_gateways_act_alike():
+    logs = []
+    for _ in range(2):
+        bench = Bench(servers=9, seed=3)
+        for request in range(1, 50):
+            serve(bench, request, lambda s: 20_000 + 1_000 * s[3])
+        logs.append(bench.log)
+    assert logs[0] == logs[1]
+
+
+def test_a_stalled_server_is_passed_over():
+    bench = Bench(servers=0)
+    bench.feed(listed(entry(1), entry(2)))
+    stalled = of(bench.ask(1, kind=2), api.Send)[0].server
+    bench.run(300_000)
+    others = [s.server for r in range(2, 6) for s in of(bench.ask(r, customer=r, kind=2), api.Send)]
+    assert others
+    assert stalled not in others
