--- a/orchidlane/rules.py
+++ b/orchidlane/rules.py
@@ -84,8 +84,7 @@
     # -- a request arrives, is admitted, and is sent ------------------------------------------------------
 
     def _request_arrived(self, event: api.RequestArrived) -> None:
-        account = self._account(event.customer, event.plan, event.set_first, event.set_size, trusted=True)
-        request = Request(event, self.s.classes[event.kind], account, self.now + event.time_left)
+        request = Request(event, self.s.classes[event.kind], self.now + event.time_left)
         self.requests[event.request] = request
         self.budget = min(COPY_MOST, max(0.0, self.budget) + COPY_BUDGET)
         self.purse = min(PURSE_MOST, self.purse + PEER_COST / max(self.s.peer_charge, PEER_COST / PURSE_MOST))
@@ -111,8 +110,9 @@
 
     def _admits(self, request: Request) -> bool:
         """Quota, open cap and ceiling: the ordinary path of every first send."""
-        event, account = request.event, request.account
-        plan = self.s.plans[account.plan]
+        event = request.event  # the entry is looked up anew: a held request may outlive an idle one
+        account = self._account(event.customer, event.plan, event.set_first, event.set_size, trusted=True)
+        plan, request.account = self.s.plans[account.plan], account
         self._lift(account)
         if plan.ceiling_rate and account.ceiling < event.units:
             return False
--- a/orchidlane/state.py
+++ b/orchidlane/state.py
@@ -74,8 +74,8 @@
 
     event: api.RequestArrived
     cls: api.RequestClass
-    account: Account
     until: int
+    account: Account | None = None  # known once it is admitted
     attempts: list[Attempt] = field(default_factory=list)
 
 
--- a/tests/test_counts.py
+++ b/tests/test_counts.py
@@ -4,7 +4,7 @@
 
 import itertools
 
-from conftest import PLAIN, SECOND, T0, Bench, of
+from conftest import PLAIN, SECOND, T0, Bench, entry, listed, of
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
@@ -222,3 +222,13 @@
     say(bench, 2)
     assert bench.gateway.accounts == {}
     bench.run(SECOND)
+
+
+def test_a_held_request_outlives_its_idle_entry():
+    """Its entry was dropped while it waited for a server; spending then left a change of nobody (fault)."""
+    bench = heard(servers=0)
+    bench.ask(1, left=9 * SECOND)
+    bench.run(SECOND)
+    bench.feed(listed(entry(1)))
+    assert len(of(bench.run(SECOND), api.Send)) == 1
+    assert bench.gateway.accounts[7].used == 1.0
