--- a/orchidlane/rules.py
+++ b/orchidlane/rules.py
@@ -39,7 +39,7 @@
 FAIL_WEIGHT = 3.0  # an attempt that failed makes a server look this much slower
 FAIL_MOST = 4.0  # failures remembered at most
 ZONE_WEIGHT = 4.0  # times the charge for crossing zones, by which a far server looks slower
-CHOICES = 12  # servers compared for one request
+CHOICES = 20  # servers compared for one request
 SPREAD = 0.1  # random part of a comparison, against herding of gateways
 COLD_CARE = 0.9  # of the fair share of a cold server's least capacity that is used
 GAP_LEARN = 0.02  # weight of the newest gap between our sends
@@ -136,6 +136,8 @@
         """The server that should answer soonest among those that the rules allow for this request."""
         some = self.ready if len(self.ready) <= CHOICES else self.random.sample(self.ready, CHOICES)
         usable = [host for host in some if self._may_send(request, host)]
+        if not usable:  # a fleet that is mostly cold or gone: a sample may miss the few that can serve
+            usable = [host for host in self.ready if self._may_send(request, host)]
         return min(usable, key=lambda host: self._cost(request, host), default=None)
 
     def _cost(self, request: Request, host: Host) -> float:
@@ -175,8 +177,7 @@
         event, account = request.event, request.account
         if not request.attempts:
             self._spend(event.customer, account, event.units)
-        self.gap += GAP_LEARN * (self.now - self.last_send - self.gap)
-        self.last_send = self.now
+        self.gap, self.last_send = self.gap + GAP_LEARN * (self.now - self.last_send - self.gap), self.now
         host.credit -= 1
         if not host.out:
             host.active = self.now
@@ -320,8 +321,7 @@
 
     def _lift(self, account: Account) -> None:
         """Raise the limit by the time gone; room stays within the burst; hold back what others may spend."""
-        plan, span = self.s.plans[account.plan], self.now - account.risen
-        account.risen = self.now
+        plan, span, account.risen = self.s.plans[account.plan], self.now - account.risen, self.now
         account.ceiling = self._ceiling_share(account, span, account.ceiling)
         used = account.used
         account.limit += plan.rate * span / SECOND
--- a/tests/test_servers.py
+++ b/tests/test_servers.py
@@ -117,3 +117,10 @@
     others = [s.server for r in range(2, 6) for s in of(bench.ask(r, customer=r, kind=2), api.Send)]
     assert others
     assert stalled not in others
+
+
+def test_the_few_servers_that_can_serve_are_found_among_many_cold_ones():
+    """A sample of a mostly cold fleet held requests though a warm server was free (incident)."""
+    bench = Bench(servers=0)
+    bench.feed(listed(entry(0), *(entry(i, launched=bench.now) for i in range(1, 200))))
+    assert [s.server for s in of(bench.ask(1), api.Send)] == [entry(0).server]
