--- a/orchidlane/rules.py
+++ b/orchidlane/rules.py
@@ -30,6 +30,8 @@
 FUTURE_MOST = 1_000  # ms that a peer's clock may be ahead before its message is not believed
 TIGHT = 0.5  # of the burst: with less room than this a customer's counts leave at once
 
+MARGIN = 0.5  # requests for each peer of the set that may be approved unheard, times what one beyond costs
+
 # Servers
 BASE = 2.0  # requests a server is taken to hold besides those known: keeps first guesses level
 START_OF_AIM = 0.25  # of the aim that an idle server is first thought to need
@@ -121,7 +123,9 @@
             others = sum(n for n, at in account.peers_out.values() if at >= fresh)
             if account.out + others >= plan.open:
                 return False
-        held = account.held if self.rank in account.counts else 0.0  # a new one gets one request at least
+        heard = account.size * (1 - account.unheard) - 1  # peers whose approvals are only just under way
+        margin = plan.beyond_costs * min(plan.burst / 4, MARGIN * event.units * heard)
+        held = account.held + margin if self.rank in account.counts else 0.0  # a new one gets one request
         return not plan.rate or account.room - held >= event.units
 
     def _patience(self, request: Request) -> float:
@@ -339,8 +343,7 @@
         account.counts[self.rank] = start, value + units
         account.ceiling -= units if plan.ceiling_rate else 0.0
         account.approved = (*account.approved[-1:], self.now)
-        gap = self.now - account.approved[0]
-        fast = len(account.approved) > 1 and gap * plan.rate < units * SECOND
+        fast = len(account.approved) > 1 and (self.now - account.approved[0]) * plan.rate < units * SECOND
         self._changed(customer, account, 1 << self.rank, None)
         if fast or account.room < TIGHT * plan.burst or plan.open:
             for rank in account.peers:
@@ -441,8 +444,7 @@
         """Full and idle accounts say nothing: forgotten a few a turn, one-off customers cost no memory."""
         for _ in range(min(LOOK_AT, len(self.idle_queue))):
             customer = self.idle_queue.popleft()
-            account = self.accounts[customer]
-            self._lift(account)
+            self._lift(account := self.accounts[customer])
             full = account.ceiling >= self.s.plans[account.plan].ceiling_burst / account.size
             if account.out or account.held or not full or self._spare(customer) < 1:
                 self.idle_queue.append(customer)
