--- a/orchidlane/rules.py
+++ b/orchidlane/rules.py
@@ -7,7 +7,6 @@
 
 from __future__ import annotations
 
-import math
 import random
 from itertools import islice
 
@@ -29,7 +28,6 @@
 LOOK_AT = 32  # customers looked at for one message or for being idle, to bound the work
 FUTURE_MOST = 1_000  # ms that a peer's clock may be ahead before its message is not believed
 TIGHT = 0.5  # of the burst: with less room than this a customer's counts leave at once
-
 MARGIN = 0.5  # requests for each peer of the set that may be approved unheard, times what one beyond costs
 
 # Servers
@@ -94,7 +92,7 @@
 
     def _advance(self, request: Request) -> None:
         """The next step of a request that is owed an answer."""
-        out = [a for a in request.attempts if a.out]
+        out = request.out
         last_call = request.until - LEAVE
         if not out and (self.now >= last_call or len(request.attempts) >= self.s.max_attempts):
             return self._end(request)
@@ -211,7 +209,7 @@
         request = self.requests.get(event.request)
         if request and event.answered:
             self._drop(request)
-        elif request and not any(a.out for a in request.attempts):
+        elif request and not request.out:
             (self._advance if self._may_repeat(request) else self._end)(request)
 
     def _may_repeat(self, request: Request) -> bool:
@@ -250,7 +248,7 @@
         request = self.requests.get(event.token - 1)
         if request is None:
             return None
-        out = [a for a in request.attempts if a.out]
+        out = request.out
         more = len(request.attempts) < self.s.max_attempts and self.now < request.until - LEAVE
         if not out:
             self._advance(request)
@@ -268,9 +266,8 @@
 
     def _expected(self, host: Host, kind: int) -> float:
         """The expected answer time: what requests met there, how the load changed, how long it is quiet."""
-        fade = math.exp((host.seen - self.now) / FORGET)
-        slow, fails = 1 + (host.slow - 1) * fade, 1 + FAIL_WEIGHT * host.fails * fade
-        time = self.usual[kind] * slow * fails * (host.out + BASE) / host.typical
+        slow, fails = host.marks(self.now, FORGET)
+        time = self.usual[kind] * slow * (1 + FAIL_WEIGHT * fails) * (host.out + BASE) / host.typical
         if host.out:  # guards against a stalling or dead server: it answers nobody
             time = max(time, self.now - host.active)
         return time
@@ -279,8 +276,8 @@
         """Each outcome tells of its server; a mark fades unless renewed, so that traffic returns gently."""
         host = attempt.host
         host.out -= 1
-        fade = math.exp((host.seen - self.now) / FORGET)
-        host.slow, host.fails, host.seen = 1 + (host.slow - 1) * fade, host.fails * fade, self.now
+        host.slow, host.fails = host.marks(self.now, FORGET)
+        host.seen = self.now
         if event.outcome in (Outcome.SERVED, Outcome.ERROR, Outcome.FULL):
             host.active = self.now
         if event.outcome in (Outcome.SERVED, Outcome.TIMED_OUT):
@@ -302,11 +299,11 @@
             ranks = [(first + i) % self.s.gateways for i in range(min(size, self.s.gateways))]
             peers = tuple(r for r in ranks if r in self.peers)
             if account is None:
-                account = Account(key, plan, max(1, size), peers, self.s.plans[plan].burst, self.now)
+                account = Account(key, peers, self.s.plans[plan].burst, self.now)
                 account.ceiling = self._ceiling_share(account, self.now - self.birth)
                 self.accounts[customer] = account
                 self.idle_queue.append(customer)
-            account.key, account.plan, account.size, account.peers = key, plan, max(1, size), peers
+            account.key, account.peers = key, peers
         return account
 
     def _ceiling_share(self, account: Account, span: int, has: float = 0.0) -> float:
--- a/orchidlane/state.py
+++ b/orchidlane/state.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections import deque
 from dataclasses import dataclass, field, replace
 
@@ -13,8 +14,6 @@
     """One customer: counts by rank as (start in ms, value), the limit, and what is held back."""
 
     key: tuple[int, int, int]  # plan, first gateway and size of its set, as told
-    plan: int
-    size: int
     peers: tuple[int, ...]  # the other gateways of its set
     limit: float
     risen: int
@@ -27,6 +26,16 @@
     approved: tuple[int, ...] = ()  # times of the last approvals
     ceiling: float = 0.0
 
+    @property
+    def plan(self) -> int:
+        """Its plan's number."""
+        return self.key[0]
+
+    @property
+    def size(self) -> int:
+        """How many gateways its set has."""
+        return max(1, self.key[2])
+
     @property
     def room(self) -> float:
         """The limit less all that was spent."""
@@ -52,6 +61,11 @@
     typical: float = 2.0  # load that its answer times were met under
     credit: float = 0.0  # sends that its cold start allows
 
+    def marks(self, now: int, fade_over: int) -> tuple[float, float]:
+        """How slow it is and how often it failed, each faded by the time since it taught us something."""
+        fade = math.exp((self.seen - now) / fade_over)
+        return 1 + (self.slow - 1) * fade, self.fails * fade
+
     def shares(self, group: api.Group) -> int:
         """What two servers have in common that drop each other's repeats."""
         return {api.Group.ALL: 0, api.Group.ZONE: self.entry.zone, api.Group.CELL: self.entry.cell}[group]
@@ -78,6 +92,11 @@
     account: Account | None = None  # known once it is admitted
     attempts: list[Attempt] = field(default_factory=list)
 
+    @property
+    def out(self) -> list[Attempt]:
+        """Those of its attempts that have no outcome yet."""
+        return [attempt for attempt in self.attempts if attempt.out]
+
 
 @dataclass(slots=True)
 class Peer:
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -87,18 +87,14 @@
         self.log += actions
         return actions
 
-    def run(self, span: int, on_action=None) -> list[api.Action]:
+    def run(self, span: int) -> list[api.Action]:
         """Let time pass and the timers fire."""
         end, done = self.now + span, []
         while due := [t for t in self.timers if t[0] <= end]:
             first = min(due)
             self.timers.remove(first)
             self.now = max(self.now, first[0])
-            actions = self.feed(api.TimerFired(first[1]))
-            done += actions
-            if on_action:
-                for action in actions:
-                    on_action(action)
+            done += self.feed(api.TimerFired(first[1]))
         self.now = end
         return done
 
