--- a/orchidlane/messages.py
+++ b/orchidlane/messages.py
@@ -2,10 +2,10 @@
 
 A message is a head and rows. Numbers are LEB128 variable-length integers unless a size is given.
 
-    head  u8 format, u8 flags (1: caught up), u48 send time in ms, age of the sender's birth in ms
-    row   u40 customer, u8 plan, u8 first gateway of its set, u8 size of the set, u8 attempts out now,
-          limit in 1/64 units, u8 number of counts, counts
-    count u8 rank, age of its start in ms, value in 1/64 units
+    head  u8 format, u8 flags (1: answer this, 2: spread this), u32 send time in ms (its low bits)
+    row   customer, plan, first gateway of its set, size of the set, how many of the set the receiver hands
+          it on to, room in 1/16 units, all units known to be spent in 1/16 units, number of counts, counts
+    count place in the set (0: its first gateway), age of its start in 1/16 s, value in 1/16 units
 """
 
 from __future__ import annotations
@@ -13,47 +13,51 @@
 from collections.abc import Iterable
 from dataclasses import dataclass
 
-FORMAT = 1
+FORMAT = 2
 SIZE_MOST = 256  # bytes: what the transport carries
-HEAD_MOST = 17  # bytes a head may take
-ROWS_MOST = SIZE_MOST - HEAD_MOST  # bytes left for rows
-SCALE = 64  # parts of a unit that travel
+HEAD = 6  # bytes of a head
+SCALE = 16  # parts of a unit and of a second that travel
+TICK = 1000 // SCALE  # ms in one step of a start
+CLOCK = 1 << 32  # ms after which send times repeat
 VARINT_MOST = 9  # bytes: 63 bits
 
 
 @dataclass(frozen=True, slots=True)
 class Row:
-    """What a message tells of one customer; counts are (rank, start in ms, value)."""
+    """What a message tells of one customer; counts are (rank, start in ticks, value)."""
 
     customer: int
     plan: int
     set_first: int
     set_size: int
-    out: int
-    limit: float
+    reach: int
+    room: float
+    total: float
     counts: tuple[tuple[int, int, float], ...]
 
 
 @dataclass(frozen=True, slots=True)
 class Message:
-    """A decoded message; times in ms."""
+    """A decoded message; sent in ms."""
 
     sent: int
-    birth: int
-    caught_up: bool
+    ask: bool
+    keep: bool
     rows: tuple[Row, ...]
 
 
-def _varint(value: int) -> bytes:
-    out = bytearray()
-    while value > 0x7F:
-        out.append(value & 0x7F | 0x80)
-        value >>= 7
-    out.append(value)
-    return bytes(out)
+def _put(out: bytearray, *values: int) -> None:
+    for value in values:
+        while value > 0x7F:
+            out.append(value & 0x7F | 0x80)
+            value >>= 7
+        out.append(value)
 
 
 def _read_varint(body: bytes, at: int) -> tuple[int, int]:
+    byte = body[at]
+    if byte < 0x80:
+        return byte, at + 1
     value = 0
     for i in range(VARINT_MOST):
         byte = body[at + i]
@@ -63,23 +67,20 @@
     raise ValueError("number too long")
 
 
-def pack_row(row: Row, sent: int) -> bytes:
+def pack_row(row: Row, sent: int, ranks: int) -> bytes:
     """One row as bytes; starts are told as ages at the send time."""
-    out = bytearray(row.customer.to_bytes(5, "little"))
-    out += bytes((row.plan, row.set_first, row.set_size, min(row.out, 255)))
-    out += _varint(int(row.limit * SCALE))
-    out.append(len(row.counts))
+    out, first, ticks = bytearray(), row.set_first, sent // TICK
+    _put(out, row.customer, row.plan, first, row.set_size, row.reach)
+    _put(out, int(row.room * SCALE), int(row.total * SCALE), len(row.counts))
     for rank, start, value in row.counts:
-        out.append(rank)
-        out += _varint(sent - start)
-        out += _varint(int(value * SCALE))
+        _put(out, (rank - first) % ranks, max(0, ticks - start), int(value * SCALE))
     return bytes(out)
 
 
 def fit(rows: Iterable[bytes]) -> list[bytes]:
     """As many of the rows, from the first on, as one message holds."""
     taken: list[bytes] = []
-    space = ROWS_MOST
+    space = SIZE_MOST - HEAD
     for row in rows:
         space -= len(row)
         if space < 0:
@@ -88,39 +89,39 @@
     return taken
 
 
-def pack(sent: int, birth: int, caught_up: bool, rows: list[bytes]) -> bytes:
+def pack(sent: int, ask: bool, keep: bool, rows: list[bytes]) -> bytes:
     """A whole message."""
-    return (
-        bytes((FORMAT, int(caught_up))) + sent.to_bytes(6, "little") + _varint(sent - birth) + b"".join(rows)
-    )
+    return bytes((FORMAT, ask + 2 * keep)) + (sent % CLOCK).to_bytes(4, "little") + b"".join(rows)
 
 
 def unpack(body: bytes, now: int, ranks: int, plans: int) -> Message | None:
-    """The message, or None where the bytes are none, tell of the future, or name what does not exist."""
+    """The message, or None where the bytes are none or name what does not exist.
+
+    Of the send times that the low bits may mean, the one nearest to now (in ms) is taken.
+    """
     try:
-        if body[0] != FORMAT or body[1] > 1 or len(body) > SIZE_MOST:
-            return None
-        sent = int.from_bytes(body[2:8], "little")
-        age, at = _read_varint(body, 8)
-        if sent > now:
+        if body[0] != FORMAT or body[1] > 3 or not HEAD <= len(body) <= SIZE_MOST:
             return None
-        rows = []
+        sent = int.from_bytes(body[2:HEAD], "little")
+        sent += (now - sent + CLOCK // 2) // CLOCK * CLOCK
+        ticks, rows, at = sent // TICK, [], HEAD
         while at < len(body):
-            customer = int.from_bytes(body[at : at + 5], "little")
-            plan, first, size, out = body[at + 5 : at + 9]
-            limit, at = _read_varint(body, at + 9)
-            number, at = body[at], at + 1
-            if plan >= plans or first >= ranks or size < 1:
+            head = []
+            for _ in range(8):
+                value, at = _read_varint(body, at)
+                head.append(value)
+            customer, plan, first, size, reach, room, total, number = head
+            if plan >= plans or first >= ranks or not 1 <= size <= ranks or reach >= size or number > size:
                 return None
             counts = []
             for _ in range(number):
-                rank = body[at]
-                if rank >= ranks:
-                    return None
-                start_age, at = _read_varint(body, at + 1)
+                place, at = _read_varint(body, at)
+                age, at = _read_varint(body, at)
                 value, at = _read_varint(body, at)
-                counts.append((rank, sent - start_age, value / SCALE))
-            rows.append(Row(customer, plan, first, size, out, limit / SCALE, tuple(counts)))
-        return Message(sent, sent - age, body[1] == 1, tuple(rows))
+                if place >= size:
+                    return None
+                counts.append(((first + place) % ranks, ticks - age, value / SCALE))
+            rows.append(Row(customer, plan, first, size, reach, room / SCALE, total / SCALE, tuple(counts)))
+        return Message(sent, body[1] & 1 == 1, body[1] & 2 == 2, tuple(rows))
     except (IndexError, ValueError):
         return None
--- a/orchidlane/rules.py
+++ b/orchidlane/rules.py
@@ -13,22 +13,24 @@
 from . import interface as api
 from . import messages
 from .interface import Effect, Group, ListKind, Outcome, Phase
-from .state import Account, Attempt, Host, Memory, Peer, Request, apply_list
+from .state import Account, Attempt, Host, Memory, Request
 
 MS, SECOND = 1_000, 1_000_000  # microseconds
 
 # Gossip
-INTAKE_SHARE = 0.8  # of a peer's intake that all senders together may fill: the rest is for jitter
-INTERVAL_LEAST = 30 * MS  # between two gossip turns: below it messages say little more
-SILENT_AFTER = 10  # mean gossip gaps of one peer without a word: rarely chance, soon enough for a cut
-BEATS = 4  # words to a peer in the time after which it would take us for silent
-PEER_COST = 0.012  # of the worth asked for, at most, that messages may cost
-PURSE_MOST = 30.0  # full messages saved up
-RECOVER_FOR = 1_500 * MS  # a new gateway waits so long for its peers' counts before it tells its own
-LOOK_AT = 32  # customers looked at for one message or for being idle, to bound the work
-FUTURE_MOST = 1_000  # ms that a peer's clock may be ahead before its message is not believed
-TIGHT = 0.5  # of the burst: with less room than this a customer's counts leave at once
-MARGIN = 0.5  # requests for each peer of the set that may be approved unheard, times what one beyond costs
+INTAKE_SHARE = 0.8  # of the intake that every gateway may send: the rest is for jitter
+INTERVAL = 300 * MS  # between two gossip turns: what is pressing does not wait for them
+FAN = 12  # gateways told at once: the rest of a larger set is told by them, each has a part of it
+NEWS_MOST = 3  # counts in a row; older ones are within its total
+LOOK_AT, IDLE_LOOKS = 32, 3  # customers looked at for one message / for being idle, to bound the work
+OUT_MOST = 8  # others' latest approvals remembered for open caps
+LATE_MOST = 5 * SECOND  # a message that took longer, or comes from so far ahead, is not believed
+CLOSE, REOPEN = 0.25, 0.6  # of the burst: with less room a customer is refused, until so much is back
+ANSWER_WITHIN = 200 * MS  # a keeper not heard for so long is asked to answer as soon; else the next is told
+KEEPER_STRIDE = 2_654_435_761  # spreads customers over the gateways of their sets
+KEEPERS = 3  # gateways of a set that are tried
+HEAR = 0.1  # weight of the newest answer or silence in the part of the fleet that is unheard
+UNHEARD_LEAST = 0.25  # below it silence is what loss and restarts explain
 
 # Servers
 BASE = 2.0  # requests a server is taken to hold besides those known: keeps first guesses level
@@ -39,19 +41,17 @@
 FAIL_WEIGHT = 3.0  # an attempt that failed makes a server look this much slower
 FAIL_MOST = 4.0  # failures remembered at most
 ZONE_WEIGHT = 4.0  # times the charge for crossing zones, by which a far server looks slower
-CHOICES = 20  # servers compared for one request
+CHOICES = 12  # servers compared for one request
 SPREAD = 0.1  # random part of a comparison, against herding of gateways
 COLD_CARE = 0.9  # of the fair share of a cold server's least capacity that is used
-GAP_LEARN = 0.02  # weight of the newest gap between our sends
 
 # Attempts
 LEAVE = 30 * MS  # before the client's time is up, a held request is ended
 HOLD = 20 * MS  # between two looks at a request that has no server
-COPY_AFTER = 0.4  # of the aim without an answer: a second copy may pay
-COPY_BUDGET = 0.05  # further attempts earned by each request: no retry storms
-COPY_MOST = 5.0  # further attempts saved up
+REPEAT_BUDGET = 0.05  # further attempts earned by each request: no retry storms
+REPEAT_MOST = 5.0  # further attempts saved up
 SHED_LOW, SHED_HIGH = 0.05, 0.2  # of the aim beyond the usual time: slower, the cheapest / dearest is refused
-TURN = 0  # the token of the gossip timer; a request's timer has its id + 1
+TURN, ASKED = 0, 1 << 40  # tokens of timers: gossip, answers due; a request's has its id + 1
 
 
 class Gateway(Memory):
@@ -59,20 +59,15 @@
 
     def __init__(self, settings: api.Settings, seed: int, now: int) -> None:
         super().__init__()
-        self.s, self.random, self.now = settings, random.Random(seed), now
-        self.birth, self.rank, self.new = now, settings.rank, True
+        self.s, self.random, self.now, self.filled = settings, random.Random(seed), now, now
+        self.rank, self.alone = settings.rank, not settings.may_tell_peers
         self.usual = [START_OF_AIM * c.aim for c in settings.classes]
-        self.budget, self.purse = COPY_MOST, PURSE_MOST
-        self.gap, self.last_send, self.dearest = float(SECOND), now, 0.0
-        peers = [r for r in range(settings.gateways) if r != self.rank] if settings.may_tell_peers else []
-        self.peers = {r: Peer(heard=now - SILENT_AFTER * SECOND, told=now, filled=now) for r in peers}
-        self.per_peer = INTAKE_SHARE * settings.peer_intake / max(1, settings.gateways - 1)
-        self.interval = int(max(INTERVAL_LEAST, SECOND / max(0.1, self.per_peer * len(peers))))
-        self.silent_after = SILENT_AFTER * self.interval * max(1, len(peers))
+        self.budget, self.dearest, self.unheard = REPEAT_MOST, 0.0, 0.0
+        self.allowance = self.per_second = INTAKE_SHARE * settings.peer_intake
 
     def start(self) -> list[api.Action]:
         """The first actions, once the gateway is up."""
-        return [api.SetTimer(self.interval, TURN)] + [api.AskList()] * self.s.asks_for_list
+        return [api.SetTimer(INTERVAL, TURN)] + [api.AskList()] * self.s.asks_for_list
 
     def handle(self, now: int, event: api.Event) -> list[api.Action]:
         """What to do about one event: each goes to the method of its topic."""
@@ -84,26 +79,24 @@
     # -- a request arrives, is admitted, and is sent ------------------------------------------------------
 
     def _request_arrived(self, event: api.RequestArrived) -> None:
-        request = Request(event, self.s.classes[event.kind], self.now + event.time_left)
+        request = Request(event, self.s.classes[event.kind], self.now + event.time_left, self.random.random())
         self.requests[event.request] = request
-        self.budget = min(COPY_MOST, max(0.0, self.budget) + COPY_BUDGET)
-        self.purse = min(PURSE_MOST, self.purse + PEER_COST / max(self.s.peer_charge, PEER_COST / PURSE_MOST))
+        self.budget = min(REPEAT_MOST, max(0.0, self.budget) + REPEAT_BUDGET)
         self._advance(request)
+        self._drop_idle()
 
     def _advance(self, request: Request) -> None:
         """The next step of a request that is owed an answer."""
-        out = request.out
         last_call = request.until - LEAVE
-        if not out and (self.now >= last_call or len(request.attempts) >= self.s.max_attempts):
+        if self.now >= last_call or len(request.attempts) >= self.s.max_attempts:
             return self._end(request)
         first = not request.attempts
         if first and not self._admits(request):
             return self._end(request)
         host = self._choose(request)
         if host is None:
-            if not out:
-                self._look_again(request, min(HOLD, last_call - self.now))
-            return None
+            span = max(1, min(HOLD, last_call - self.now))
+            return self.actions.append(api.SetTimer(span, request.event.request + 1))
         if first and self._expected(host, request.event.kind) > self._patience(request):
             return self._end(request)
         return self._send(request, host)
@@ -116,15 +109,14 @@
         self._lift(account)
         if plan.ceiling_rate and account.ceiling < event.units:
             return False
-        if plan.open:
-            fresh = self.now - self.silent_after // 4
-            others = sum(n for n, at in account.peers_out.values() if at >= fresh)
+        if plan.open:  # what others approved lately is taken to be out for as long as usual
+            others = sum(self.now - at < self.usual[event.kind] for at in account.others)
             if account.out + others >= plan.open:
                 return False
-        heard = account.size * (1 - account.unheard) - 1  # peers whose approvals are only just under way
-        margin = plan.beyond_costs * min(plan.burst / 4, MARGIN * event.units * heard)
-        held = account.held + margin if self.rank in account.counts else 0.0  # a new one gets one request
-        return not plan.rate or account.room - held >= event.units
+        room = account.room
+        if account.fresh and self.rank in account.counts:  # unheard: a share, at least one request
+            room = min(room, plan.burst / account.size - account.counts[self.rank][1])
+        return not plan.rate or (not account.closed and room >= event.units)
 
     def _patience(self, request: Request) -> float:
         """The longest expected answer time at which a request is let in: longer the more its work earns."""
@@ -136,10 +128,12 @@
 
     def _choose(self, request: Request) -> Host | None:
         """The server that should answer soonest among those that the rules allow for this request."""
-        some = self.ready if len(self.ready) <= CHOICES else self.random.sample(self.ready, CHOICES)
-        usable = [host for host in some if self._may_send(request, host)]
-        if not usable:  # a fleet that is mostly cold or gone: a sample may miss the few that can serve
-            usable = [host for host in self.ready if self._may_send(request, host)]
+        if cold := self._cold_one(request):
+            return cold
+        ran = [a for a in request.attempts if a.ran]
+        pool = self.near(ran[0].host, request.cls.group) if ran else self.warm.hosts
+        some = pool if len(pool) <= CHOICES else self.random.sample(pool, CHOICES)
+        usable = [host for host in some if self._is_warm(host) and self._may_send(request, host)]
         return min(usable, key=lambda host: self._cost(request, host), default=None)
 
     def _cost(self, request: Request, host: Host) -> float:
@@ -148,39 +142,39 @@
         return cost * (1 + FAIL_WEIGHT * any(a.host is host for a in request.attempts))
 
     def _may_send(self, request: Request, host: Host) -> bool:
-        """Rules 2, 3 and 4 for one send."""
-        if host.entry.phase is not Phase.READY or not self._cold_allows(host):
+        """Rules 2 and 3 for one send."""
+        if host.entry.phase is not Phase.READY:
             return False
         ran = [a for a in request.attempts if a.ran]
-        if not ran:
-            return True
         cls = request.cls
-        if any(a.out for a in ran) and (not self.s.may_copy or any(a.out and a.host is host for a in ran)):
-            return False
-        if cls.effect is Effect.SAFE:
+        if not ran or cls.effect is Effect.SAFE:
             return True
         if cls.effect is Effect.UNSAFE or self.now >= ran[0].sent + cls.window - LEAVE:
             return False
         return host.shares(cls.group) == ran[0].host.shares(cls.group)
 
-    def _cold_allows(self, host: Host) -> bool:
-        """Rule 4: a cold server gets what its least capacity allows of a warm one's share of our sends."""
-        age = self.now - host.entry.launched
-        if not host.entry.launched or age >= self.s.warm_within:
-            return True
-        ramp = self.s.cold_from + (1 - self.s.cold_from) * max(0, age) / self.s.warm_within
-        gap = max(self.gap, self.now - self.last_send) * len(self.ready)
-        host.credit = min(1.0, host.credit + COLD_CARE * ramp * (self.now - host.credited) / gap)
-        host.credited = self.now
-        return host.credit >= 1.0
+    def _is_warm(self, host: Host) -> bool:
+        return not host.entry.launched or self.now - host.entry.launched >= self.s.warm_within
+
+    def _cold_one(self, request: Request) -> Host | None:
+        """Rule 4: each attempt draws one server of all; a cold one is taken with the chance that its
+        least capacity allows. So a cold server gets its part of a fair share, however many gateways send."""
+        while self.warming and self._is_warm(self.warming[0]):
+            self.warm_first()
+        cold = self.cold.hosts
+        number, chance = divmod(request.lot * (len(cold) + len(self.warm.hosts)), 1)
+        if number >= len(cold):
+            return None
+        host = cold[int(number)]
+        age = max(0, self.now - host.entry.launched) / self.s.warm_within
+        ramp = self.s.cold_from + (1 - self.s.cold_from) * age
+        return host if chance < COLD_CARE * ramp and self._may_send(request, host) else None
 
     def _send(self, request: Request, host: Host) -> None:
         """Every send passes here."""
         event, account = request.event, request.account
         if not request.attempts:
-            self._spend(event.customer, account, event.units)
-        self.gap, self.last_send = self.gap + GAP_LEARN * (self.now - self.last_send - self.gap), self.now
-        host.credit -= 1
+            self._spend(account, event.units)
         if not host.out:
             host.active = self.now
         attempt = Attempt(host, self.now, host.out + BASE)
@@ -188,20 +182,15 @@
         account.out += 1
         self.attempts[event.request, len(request.attempts)] = attempt, event.kind, account
         request.attempts.append(attempt)
+        request.lot = self.random.random()
         self.actions.append(api.Send(event.request, host.entry.server, request.until))
-        if request.cls.effect is not Effect.UNSAFE and self.s.may_copy:
-            self._look_again(request, int(COPY_AFTER * request.cls.aim))
-
-    def _look_again(self, request: Request, span: int) -> None:
-        self.actions.append(api.SetTimer(max(1, span), request.event.request + 1))
 
     # -- what becomes of it -------------------------------------------------------------------------------
 
     def _attempt_ended(self, event: api.AttemptEnded) -> None:
-        known = self.attempts.pop((event.request, event.attempt), None)
-        if known is None:
+        if (event.request, event.attempt) not in self.attempts:
             return
-        attempt, kind, account = known
+        attempt, kind, account = self.attempts.pop((event.request, event.attempt))
         self._learn(attempt, kind, event)
         attempt.out = False
         attempt.ran = event.outcome not in (Outcome.FULL, Outcome.NOT_CONNECTED, Outcome.NEVER_SENT)
@@ -230,10 +219,8 @@
     def _drop(self, request: Request) -> None:
         """Nothing more is owed: forget the request and call off what is still out."""
         self.requests.pop(request.event.request, None)
-        if self.s.may_cancel:
-            for number, attempt in enumerate(request.attempts):
-                if attempt.out:
-                    self.actions.append(api.Cancel(request.event.request, number))
+        if self.s.may_cancel and request.out:
+            self.actions.append(api.Cancel(request.event.request, len(request.attempts) - 1))
 
     def _stream_started(self, event: api.StreamStarted) -> None:
         self.requests.pop(event.request, None)
@@ -243,26 +230,23 @@
             self._drop(request)
 
     def _timer_fired(self, event: api.TimerFired) -> None:
-        if event.token == TURN:
-            return self._turn()
         request = self.requests.get(event.token - 1)
-        if request is None:
-            return None
-        out = request.out
-        more = len(request.attempts) < self.s.max_attempts and self.now < request.until - LEAVE
-        if not out:
-            self._advance(request)
-        # A second copy, where the first one's server has answered nobody since: it stalls or died.
-        elif more and len(out) == 1 and out[0].host.active <= out[0].sent and self.budget >= 1:
-            self.budget -= 1
+        if event.token == TURN:
+            self._turn()
+        elif event.token == ASKED:
+            self._answer_due()
+        elif request and not request.out:
             self._advance(request)
-        return None
 
     # -- servers ------------------------------------------------------------------------------------------
 
     def _server_listed(self, event: api.ServerListed) -> None:
-        if event.kind is not ListKind.FAILED:
-            self.ready = apply_list(self.hosts, event, self.now)
+        for host in self.apply_list(event, self.now) if event.kind is not ListKind.FAILED else ():
+            if self._is_warm(host):
+                self.warm.add(host)
+            else:
+                self.cold.add(host)
+                self.warming.append(host)
 
     def _expected(self, host: Host, kind: int) -> float:
         """The expected answer time: what requests met there, how the load changed, how long it is quiet."""
@@ -294,158 +278,177 @@
     # -- counts -------------------------------------------------------------------------------------------
 
     def _account(self, customer: int, plan: int, first: int, size: int, trusted: bool) -> Account:
-        account, key = self.accounts.get(customer), (plan, first, size)
-        if account is None or (trusted and key != account.key):  # a request goes before a peer
-            ranks = [(first + i) % self.s.gateways for i in range(min(size, self.s.gateways))]
-            peers = tuple(r for r in ranks if r in self.peers)
-            if account is None:
-                account = Account(key, peers, self.s.plans[plan].burst, self.now)
-                account.ceiling = self._ceiling_share(account, self.now - self.birth)
-                self.accounts[customer] = account
-                self.idle_queue.append(customer)
-            account.key, account.peers = key, peers
+        account, key = self.accounts.get(customer), (plan, first, max(1, min(size, self.s.gateways)))
+        if account is None:
+            account = Account(customer, key, self.s.plans[plan].burst, self.now)
+            self.accounts[customer] = account
+            self.idle_queue.append(customer)
+        elif trusted:  # a request goes before a peer
+            account.key = key
         return account
 
-    def _ceiling_share(self, account: Account, span: int, has: float = 0.0) -> float:
-        """Rule 5: each gateway alone fills its share of the ceiling's store, from nothing at its start."""
-        plan = self.s.plans[account.plan]
-        most = plan.ceiling_burst / account.size
-        return min(most, has + plan.ceiling_rate / account.size * span / SECOND)
-
-    def _unheard(self, account: Account) -> float:
-        """The part of the set that has not been heard lately, or not yet since it or we started."""
-        heard = sum(self.peers[r].synced and not self._silent(self.peers[r]) for r in account.peers)
-        return max(0, account.size - 1 - heard) / account.size
-
-    def _silent(self, peer: Peer) -> bool:
-        return self.now - peer.heard > self.silent_after
-
     def _lift(self, account: Account) -> None:
-        """Raise the limit by the time gone; room stays within the burst; hold back what others may spend."""
+        """Raise the limit by the time gone; room stays within the burst."""
         plan, span, account.risen = self.s.plans[account.plan], self.now - account.risen, self.now
-        account.ceiling = self._ceiling_share(account, span, account.ceiling)
-        used = account.used
-        account.limit += plan.rate * span / SECOND
-        unheard = self._unheard(account)
-        may_spend = plan.rate * span / SECOND if account.unheard else min(plan.burst, account.limit - used)
-        account.held = account.held + unheard * max(0.0, may_spend) if unheard else 0.0
-        account.unheard = unheard
-        most = used + account.held + plan.burst * (1 - unheard)
+        # Rule 5: each gateway alone fills its share of the ceiling's store, from nothing at its start.
+        gained = plan.ceiling_rate / account.size * span / SECOND
+        account.ceiling = min(plan.ceiling_burst / account.size, account.ceiling + gained)
+        part = 1.0 if self.alone else self.unheard
+        share = 1 - part * (account.size - 1) / account.size if part >= UNHEARD_LEAST else 1.0
+        burst = plan.burst * share  # what unheard gateways may spend is left to them
         # Debt: what went beyond the quota took nothing from the true store, so the limit never lies below.
-        account.limit = min(max(account.limit, used), max(used, most))
-
-    def _spend(self, customer: int, account: Account, units: float) -> None:
-        plan = self.s.plans[account.plan]
-        start, value = account.counts.get(self.rank, (self.now // MS, 0.0))
-        account.counts[self.rank] = start, value + units
-        account.ceiling -= units if plan.ceiling_rate else 0.0
-        account.approved = (*account.approved[-1:], self.now)
-        fast = len(account.approved) > 1 and (self.now - account.approved[0]) * plan.rate < units * SECOND
-        self._changed(customer, account, 1 << self.rank, None)
-        if fast or account.room < TIGHT * plan.burst or plan.open:
-            for rank in account.peers:
-                self._tell(rank)
-
-    def _changed(self, customer: int, account: Account, bits: int, teller: int | None) -> None:
-        for peer in [self.peers[r] for r in account.peers if r != teller]:
-            peer.pending[customer] = peer.pending.get(customer, 0) | bits
+        limit = max(account.total, account.limit + plan.rate * share * span / SECOND)
+        account.limit = min(limit, account.total + burst)
+        account.closed = account.room < (REOPEN if account.closed else CLOSE) * burst
+
+    def _spend(self, account: Account, units: float) -> None:
+        start, value = account.counts.get(self.rank, (self.now // MS // messages.TICK, 0.0))
+        account.total += self._count(account, self.rank, start, value + units)
+        account.ceiling -= units if self.s.plans[account.plan].ceiling_rate else 0.0
+        if account.size > 1 and not self.alone:
+            self.changed[account.customer] = None
+            self._tell_keeper(account, 0)
+
+    def _count(self, account: Account, rank: int, start: int, value: float) -> float:
+        """Newer start, then larger value; what was spent in an earlier life stays spent. The growth."""
+        known = account.counts.get(rank, (-1, 0.0))
+        if (start, value) <= known:
+            return 0.0
+        account.counts[rank] = start, value
+        account.news = (*(r for r in account.news if r != rank), rank)[-NEWS_MOST:]
+        growth = value - known[1] if start == known[0] else value
+        account.spent += growth
+        return growth
 
     # -- gossip -------------------------------------------------------------------------------------------
 
-    def _turn(self) -> None:
-        self.actions.append(api.SetTimer(self.interval, TURN))
-        late = [r for r, p in self.peers.items() if self.now - p.told >= self.silent_after // BEATS]
-        changed = [r for r, p in self.peers.items() if p.pending]
-        if late or changed:
-            self._tell(self.random.choice(late or changed), bool(late))
-        self._drop_idle()
+    def _member(self, account: Account, place: int) -> int:
+        return (account.first + place % account.size) % self.s.gateways
 
-    def _tell(self, rank: int, due: bool = False) -> None:
-        """One message of the most pressing changes, where the peer's intake and the price allow it."""
-        peer = self.peers[rank]
-        peer.allowance = min(2.0, peer.allowance + self.per_peer * (self.now - peer.filled) / SECOND)
-        peer.filled = self.now
-        if peer.allowance < 1 or (self.purse <= 0 and not due):
+    def _tell_keeper(self, account: Account, number: int) -> None:
+        """Every approval is told to one gateway of the set, which adds them up; the next one stands in."""
+        rank = self._member(account, (account.customer * KEEPER_STRIDE >> 16) + number)
+        if number >= min(KEEPERS, account.size):
             return
-        peer.allowance, peer.told = peer.allowance - 1, self.now
-        # A new gateway's counts would replace those of its earlier life at its peers: first it hears them.
-        deaf = any(not p.synced and not self._silent(p) for p in self.peers.values())
-        self.new = self.new and deaf and self.now - self.birth <= RECOVER_FOR
-        pending = () if self.new or self.purse <= 0 else islice(peer.pending, LOOK_AT)
-        changed = sorted(pending, key=self._spare)
-        rows = messages.fit(self._row(customer, peer.pending[customer]) for customer in changed)
-        for customer in changed[: len(rows)]:
-            del peer.pending[customer]
-        caught_up = peer.birth >= 0 and peer.owed.isdisjoint(peer.pending)
-        body = messages.pack(self.now // MS, self.birth // MS, caught_up, rows)
-        self.purse -= len(body) / messages.SIZE_MOST
-        self.actions.append(api.TellPeer(rank, body))
+        if rank != self.rank:
+            asks = account.fresh or self.now - self.heard.get(rank, 0) > ANSWER_WITHIN
+            self._tell(rank, [self._row(account, 0)], account.customer, number if asks else None, keep=True)
+        elif account.fresh:
+            self._tell_keeper(account, number + 1)
+        else:
+            self._keep(account)
+
+    def _answer_due(self) -> None:
+        """Guards against cuts and dead keepers: no answer in time is told to the next keeper."""
+        at, rank, customer, number = self.asked.popleft()
+        if self.now - at > 2 * ANSWER_WITHIN:  # we stood still ourselves: nothing is known of the other
+            return
+        silent = self.heard.get(rank, -1) < at
+        self.unheard += HEAR * (silent - self.unheard)
+        if silent and number >= 0 and (account := self.accounts.get(customer)):
+            self._tell_keeper(account, number + 1)
 
-    def _spare(self, customer: int) -> float:
-        """The part of its burst that a customer has left: the least goes out first."""
-        account = self.accounts[customer]
-        return account.room / (self.s.plans[account.plan].burst or 1.0)
+    def _keep(self, account: Account) -> None:
+        """A customer was fast, its room is low: its set is told at once, and again if some miss it."""
+        plan = self.s.plans[account.plan]
+        if account.closed and plan.rate * (self.now - account.spread) > CLOSE * plan.burst * SECOND:
+            account.spread = self.now
+            self._hand_on(account, account.size - 1)
+
+    def _hand_on(self, account: Account, reach: int) -> None:
+        """Tell the next so many of the set: a few of them, each handing on to a part of the rest."""
+        place = (self.rank - account.first) % self.s.gateways
+        step = -(-reach // FAN)
+        done, part = 0, 1 + self.random.randrange(step) if reach else 0
+        while done < reach:
+            part = min(part, reach - done)
+            self._tell(self._member(account, place + 1 + done), [self._row(account, part - 1)])
+            done, part = done + part, step
+
+    def _turn(self) -> None:
+        """The pending changes that concern one random peer, those of the fastest customers first."""
+        self.actions.append(api.SetTimer(INTERVAL, TURN))
+        if not self.changed:
+            return
+        account = self.accounts[next(iter(self.changed))]
+        place = (self.rank - account.first) % self.s.gateways + 1 + self.random.randrange(account.size - 1)
+        rank = self._member(account, place)
+        looked = [self.accounts[customer] for customer in islice(self.changed, LOOK_AT)]
+        shared = [a for a in looked if self._serves(rank, a.first, a.size)]
+        shared.sort(key=lambda a: a.room / (self.s.plans[a.plan].burst or 1.0))
+        rows = messages.fit(self._row(a, 0) for a in shared)
+        if self._tell(rank, rows, number=-1):
+            for told in shared[: len(rows)]:
+                del self.changed[told.customer]
+
+    def _serves(self, rank: int, first: int, size: int) -> bool:
+        return (rank - first) % self.s.gateways < size
+
+    def _tell(self, rank: int, rows: list[bytes], customer=0, number: int | None = None, keep=False) -> bool:
+        """Every message passes here: all that one gateway sends stays below what one takes in."""
+        gained = self.per_second * (self.now - self.filled) / SECOND
+        self.allowance, self.filled = min(self.per_second, self.allowance + gained), self.now
+        if self.allowance < 1:
+            return False
+        self.allowance -= 1
+        if number is not None:
+            self.asked.append((self.now, rank, customer, number))
+            self.actions.append(api.SetTimer(ANSWER_WITHIN, ASKED))
+        body = messages.pack(self.now // MS, number is not None, keep, rows)
+        self.actions.append(api.TellPeer(rank, body))
+        return True
 
-    def _row(self, customer: int, bits: int) -> bytes:
-        account = self.accounts[customer]
+    def _row(self, account: Account, reach: int) -> bytes:
         self._lift(account)
-        counts = tuple((r, *account.counts[r]) for r in sorted(account.counts) if bits >> r & 1)
-        limit = max(0.0, account.limit - account.held)
-        row = messages.Row(customer, *account.key, account.out, limit, counts)
-        return messages.pack_row(row, self.now // MS)
+        counts = tuple((rank, *account.counts[rank]) for rank in account.news)
+        row = messages.Row(account.customer, *account.key, reach, account.room, account.total, counts)
+        return messages.pack_row(row, self.now // MS, self.s.gateways)
 
     def _peer_message(self, event: api.PeerMessage) -> None:
-        latest = self.now // MS + FUTURE_MOST
-        message = messages.unpack(event.body, latest, self.s.gateways, len(self.s.plans))
-        peer = self.peers.get(event.sender)
-        stale = (self.now - self.silent_after) // MS
-        if not (peer and message and message.birth >= peer.birth and message.sent >= stale):
+        message = messages.unpack(event.body, self.now // MS, self.s.gateways, len(self.s.plans))
+        age = self.now - message.sent * MS if message else LATE_MOST
+        if self.alone or not 0 <= event.sender < self.s.gateways or abs(age) >= LATE_MOST:
             return
-        anew = message.birth > peer.birth or self._silent(peer)
-        peer.heard, peer.birth = self.now, message.birth
-        if anew:  # it has started, or was cut off: it has to be told everything that its set shares
-            peer.pending.update((c, -1) for c, a in self.accounts.items() if event.sender in a.peers)
-            peer.owed = set(peer.pending)
+        self.heard[event.sender] = self.now
+        accounts = []
         for row in message.rows:
-            self._merge(row, event.sender, message.sent)
-        peer.synced = message.caught_up or (peer.synced and not anew)
-
-    def _merge(self, row: messages.Row, teller: int, sent: int) -> None:
+            if self._serves(self.rank, row.set_first, row.set_size):
+                accounts.append(self._merge(row, event.sender, max(0, age), message.keep))
+                self._hand_on(accounts[-1], min(row.reach, accounts[-1].size - 1))
+                if message.keep:
+                    self._keep(accounts[-1])
+        if message.ask:
+            self._tell(event.sender, messages.fit(self._row(account, 0) for account in accounts))
+
+    def _merge(self, row: messages.Row, sender: int, age: int, keep: bool) -> Account:
         """Newer start, then larger value; the larger limit."""
         account = self._account(row.customer, row.plan, row.set_first, row.set_size, trusted=False)
-        plan, bits = self.s.plans[account.plan], 0
+        account.fresh = False
         self._lift(account)
+        told = 0.0
         for rank, start, value in row.counts:
-            if rank == self.rank:
-                bits |= self._adopt(account, start, value)
-            elif (start, value) > account.counts.get(rank, (-1, 0.0)):
-                account.counts[rank] = start, value
-                bits |= 1 << rank
-        account.peers_out[teller] = row.out, self.now
-        limit = row.limit + plan.rate * max(0, self.now // MS - sent) / 1000
-        account.limit = max(account.limit, limit + account.held)
+            if rank != self.rank:  # our own count is ours; an earlier life's is within the total
+                grown = self._count(account, rank, start, value)
+                told += grown * (rank == sender and keep)
+                account.others = (*account.others[-OUT_MOST:], self.now) if grown else account.others
+        if told:  # what is spread reaches all without
+            self.changed[account.customer] = None
+        # The total tells of counts that did not fit or were lost, so that a gateway that missed them knows.
+        account.total = max(account.total + told, account.spent, row.total)
+        refilled = self.s.plans[account.plan].rate * age / SECOND
+        account.limit = max(account.limit, row.total + row.room + refilled)
         self._lift(account)
-        if bits:
-            self._changed(row.customer, account, bits, teller)
-
-    def _adopt(self, account: Account, start: int, value: float) -> int:
-        """Guards against a restart's fresh allowance: an earlier life's count goes on under our start."""
-        mine = account.counts.get(self.rank, (self.now // MS, 0.0))
-        if start >= mine[0] or value <= account.adopted:
-            return 0
-        account.counts[self.rank] = mine[0], mine[1] + value - account.adopted
-        account.adopted = value
-        return 1 << self.rank
+        return account
 
     def _drop_idle(self) -> None:
-        """Full and idle accounts say nothing: forgotten a few a turn, one-off customers cost no memory."""
-        for _ in range(min(LOOK_AT, len(self.idle_queue))):
+        """Full and idle accounts say nothing: forgotten a few at a time, one-off customers cost no memory."""
+        for _ in range(min(IDLE_LOOKS, len(self.idle_queue))):
             customer = self.idle_queue.popleft()
             self._lift(account := self.accounts[customer])
-            full = account.ceiling >= self.s.plans[account.plan].ceiling_burst / account.size
-            if account.out or account.held or not full or self._spare(customer) < 1:
+            plan = self.s.plans[account.plan]
+            full = account.ceiling >= plan.ceiling_burst / account.size and account.room >= plan.burst
+            if account.out or account.fresh or not full:
                 self.idle_queue.append(customer)
                 continue
             del self.accounts[customer]
-            for peer in self.peers.values():  # all: its set may have changed
-                peer.pending.pop(customer, None)
+            self.changed.pop(customer, None)
--- a/orchidlane/state.py
+++ b/orchidlane/state.py
@@ -11,40 +11,42 @@
 
 @dataclass(slots=True)
 class Account:
-    """One customer: counts by rank as (start in ms, value), the limit, and what is held back."""
+    """One customer: counts by rank as (start, value), the limit."""
 
+    customer: int
     key: tuple[int, int, int]  # plan, first gateway and size of its set, as told
-    peers: tuple[int, ...]  # the other gateways of its set
     limit: float
     risen: int
     counts: dict[int, tuple[int, float]] = field(default_factory=dict)
-    held: float = 0.0  # what unheard gateways may have spent
-    unheard: float = 0.0  # their part of the set
-    adopted: float = 0.0  # of an earlier life's count taken into our own
+    spent: float = 0.0  # the sum of the counts, those of earlier lives too
+    total: float = 0.0  # all units known to be spent: the counts, and what tellers knew besides
+    news: tuple[int, ...] = ()  # ranks whose counts changed last, the latest at the end
+    fresh: bool = True  # no other gateway has told of it yet
     out: int = 0
-    peers_out: dict[int, tuple[int, int]] = field(default_factory=dict)  # rank -> (attempts out, when told)
-    approved: tuple[int, ...] = ()  # times of the last approvals
+    others: tuple[int, ...] = ()  # when others' latest approvals became known
+    spread: int = 0  # when its set was last told
     ceiling: float = 0.0
+    closed: bool = False  # it was fast and spent nearly all: refused until a good part is back
 
     @property
     def plan(self) -> int:
         """Its plan's number."""
         return self.key[0]
 
+    @property
+    def first(self) -> int:
+        """The first gateway of its set."""
+        return self.key[1]
+
     @property
     def size(self) -> int:
         """How many gateways its set has."""
-        return max(1, self.key[2])
+        return self.key[2]
 
     @property
     def room(self) -> float:
         """The limit less all that was spent."""
-        return self.limit - self.used
-
-    @property
-    def used(self) -> float:
-        """All that is known to be spent."""
-        return sum(value for _, value in self.counts.values())
+        return self.limit - self.total
 
 
 @dataclass(slots=True)
@@ -53,13 +55,11 @@
 
     entry: api.ServerEntry
     seen: int  # when it last taught us something
-    credited: int
     slow: float = 1.0
     fails: float = 0.0
     out: int = 0
     active: int = 0  # last answer, or when the first of those out was sent
     typical: float = 2.0  # load that its answer times were met under
-    credit: float = 0.0  # sends that its cold start allows
 
     def marks(self, now: int, fade_over: int) -> tuple[float, float]:
         """How slow it is and how often it failed, each faded by the time since it taught us something."""
@@ -71,6 +71,29 @@
         return {api.Group.ALL: 0, api.Group.ZONE: self.entry.zone, api.Group.CELL: self.entry.cell}[group]
 
 
+class Pool:
+    """Servers in a list to draw from; adding and removing one costs the same at any size."""
+
+    def __init__(self) -> None:
+        self.hosts: list[Host] = []
+        self.places: dict[api.Server, int] = {}
+
+    def add(self, host: Host) -> None:
+        """Put a server in, once."""
+        if host.entry.server not in self.places:
+            self.places[host.entry.server] = len(self.hosts)
+            self.hosts.append(host)
+
+    def remove(self, server: api.Server) -> None:
+        """Take a server out; the last one fills its place."""
+        place = self.places.pop(server, None)
+        if place is not None:
+            last = self.hosts.pop()
+            if place < len(self.hosts):
+                self.hosts[place] = last
+                self.places[last.entry.server] = place
+
+
 @dataclass(slots=True)
 class Attempt:
     """One send; ran means that it may have run."""
@@ -89,6 +112,7 @@
     event: api.RequestArrived
     cls: api.RequestClass
     until: int
+    lot: float = 0.0  # drawn anew for each attempt: which cold server it may try
     account: Account | None = None  # known once it is admitted
     attempts: list[Attempt] = field(default_factory=list)
 
@@ -98,43 +122,62 @@
         return [attempt for attempt in self.attempts if attempt.out]
 
 
-@dataclass(slots=True)
-class Peer:
-    """Another gateway: when it was heard, what it has to be told."""
-
-    heard: int
-    told: int
-    filled: int
-    birth: int = -1
-    synced: bool = False
-    allowance: float = 1.0
-    pending: dict[int, int] = field(default_factory=dict)  # customer -> bits of the changed counts
-    owed: set[int] = field(default_factory=set)  # customers of the first transfer that are still to come
-
-
 class Memory:
     """All that a gateway holds, empty at its start."""
 
     def __init__(self) -> None:
         self.accounts: dict[int, Account] = {}
         self.idle_queue: deque[int] = deque()  # customers, in the order of their next look
+        self.changed: dict[int, None] = {}  # customers whose counts changed since they were told
+        self.heard: dict[int, int] = {}  # rank -> when it was last heard
+        self.asked: deque[tuple[int, int, int, int]] = deque()  # when, rank, customer, which keeper
         self.hosts: dict[api.Server, Host] = {}
-        self.ready: list[Host] = []
+        self.warm, self.cold = Pool(), Pool()
+        self.cells: dict[int, Pool] = {}
+        self.zones: dict[int, Pool] = {}
+        self.warming: deque[tuple[int, Host]] = deque()  # cold servers by launch
         self.requests: dict[int, Request] = {}
         self.attempts: dict[tuple[int, int], tuple[Attempt, int, Account]] = {}
         self.actions: list[api.Action] = []
 
-
-def apply_list(hosts: dict[api.Server, Host], event: api.ServerListed, now: int) -> list[Host]:
-    """Bring the servers up to date with discovery; those ready, in the order of their names."""
-    told = {entry.server: entry for entry in event.entries}
-    if event.kind is not api.ListKind.CHANGES:
-        for server, host in hosts.items():
-            if server not in told:
-                host.entry = replace(host.entry, phase=api.Phase.GONE)
-    for server, entry in told.items():
-        if server not in hosts or entry.launched > hosts[server].entry.launched:
-            hosts[server] = Host(entry, now, now)
-        else:
-            hosts[server].entry = entry
-    return [hosts[s] for s in sorted(hosts) if hosts[s].entry.phase is api.Phase.READY]
+    def apply_list(self, event: api.ServerListed, now: int) -> list[Host]:
+        """Bring the servers up to date with discovery; those that are ready and new or started anew."""
+        if event.kind is not api.ListKind.CHANGES:
+            told = {entry.server for entry in event.entries}
+            for server in [s for s in self.hosts if s not in told]:
+                self._take_out(self.hosts[server])
+                self.hosts[server].entry = replace(self.hosts[server].entry, phase=api.Phase.GONE)
+        fresh = []
+        for entry in event.entries:
+            host = self.hosts.get(entry.server)
+            anew = host is None or entry.launched > host.entry.launched
+            was_ready = host is not None and host.entry.phase is api.Phase.READY
+            if host is not None and (anew or entry.phase is not api.Phase.READY):
+                self._take_out(host)
+            if host is None or anew:
+                host = self.hosts[entry.server] = Host(entry, now)
+            host.entry = entry
+            if entry.phase is api.Phase.READY and (anew or not was_ready):
+                self.cells.setdefault(entry.cell, Pool()).add(host)
+                self.zones.setdefault(entry.zone, Pool()).add(host)
+                fresh.append(host)
+        return fresh
+
+    def warm_first(self) -> None:
+        """The cold server that was listed first joins the warm ones, if it still runs."""
+        host = self.warming.popleft()
+        if self.hosts.get(host.entry.server) is host and host.entry.phase is api.Phase.READY:
+            self.cold.remove(host.entry.server)
+            self.warm.add(host)
+
+    def near(self, host: Host, group: api.Group) -> list[Host]:
+        """The servers that share the group with this one, those that are cold too."""
+        if group is api.Group.ALL:
+            return self.warm.hosts
+        pools = self.cells if group is api.Group.CELL else self.zones
+        return pools[host.shares(group)].hosts
+
+    def _take_out(self, host: Host) -> None:
+        for pool in (self.warm, self.cold, self.cells.get(host.entry.cell), self.zones.get(host.entry.zone)):
+            if pool is not None:
+                pool.remove(host.entry.server)
