--- a/orchidlane/rules.py
+++ b/orchidlane/rules.py
@@ -39,7 +39,6 @@
 FORGET = 3 * SECOND  # after this a slow server's mark has faded to a third: gentle return
 SLOW_MOST = 8.0  # times the idle answer time that one answer may count for
 FAIL_WEIGHT = 3.0  # an attempt that failed makes a server look this much slower
-FAIL_MOST = 4.0  # failures remembered at most
 ZONE_WEIGHT = 4.0  # times the charge for crossing zones, by which a far server looks slower
 CHOICES = 12  # servers compared for one request
 SPREAD = 0.1  # random part of a comparison, against herding of gateways
@@ -72,7 +71,7 @@
     def handle(self, now: int, event: api.Event) -> list[api.Action]:
         """What to do about one event: each goes to the method of its topic."""
         self.now, self.actions = now, []
-        if method := getattr(self, f"_{event.topic}", None):  # neither probes nor the counter are asked
+        if method := getattr(self, f"_{event.topic}", None):  # streams, probes, counter: nothing to do
             method(event)
         return self.actions
 
@@ -95,7 +94,7 @@
             return self._end(request)
         host = self._choose(request)
         if host is None:
-            span = max(1, min(HOLD, last_call - self.now))
+            span = min(HOLD, last_call - self.now)
             return self.actions.append(api.SetTimer(span, request.event.request + 1))
         if first and self._expected(host, request.event.kind) > self._patience(request):
             return self._end(request)
@@ -222,9 +221,6 @@
         if self.s.may_cancel and request.out:
             self.actions.append(api.Cancel(request.event.request, len(request.attempts) - 1))
 
-    def _stream_started(self, event: api.StreamStarted) -> None:
-        self.requests.pop(event.request, None)
-
     def _client_gone(self, event: api.ClientGone) -> None:
         if request := self.requests.get(event.request):
             self._drop(request)
@@ -242,15 +238,13 @@
 
     def _server_listed(self, event: api.ServerListed) -> None:
         for host in self.apply_list(event, self.now) if event.kind is not ListKind.FAILED else ():
-            if self._is_warm(host):
-                self.warm.add(host)
-            else:
-                self.cold.add(host)
-                self.warming.append(host)
+            (self.warm if self._is_warm(host) else self.cold).add(host)
+            self.warming.append(host)
 
     def _expected(self, host: Host, kind: int) -> float:
         """The expected answer time: what requests met there, how the load changed, how long it is quiet."""
-        slow, fails = host.marks(self.now, FORGET)
+        zone, _ = self.zones[host.entry.zone].met.marks(self.now, FORGET)
+        slow, fails = host.marks(self.now, FORGET, zone)  # not met lately: like the others of its zone
         time = self.usual[kind] * slow * (1 + FAIL_WEIGHT * fails) * (host.out + BASE) / host.typical
         if host.out:  # guards against a stalling or dead server: it answers nobody
             time = max(time, self.now - host.active)
@@ -265,7 +259,11 @@
         if event.outcome in (Outcome.SERVED, Outcome.ERROR, Outcome.FULL):
             host.active = self.now
         if event.outcome in (Outcome.SERVED, Outcome.TIMED_OUT):
-            host.slow += LEARN * (min(SLOW_MOST, event.took / self.usual[kind]) - host.slow)
+            # Guards against a jam of a whole zone, where a gateway meets each server too seldom to learn.
+            zone = self.zones[host.entry.zone].met
+            zone.slow, zone.seen = zone.marks(self.now, FORGET)[0], self.now
+            for known in (host, zone):
+                known.slow += LEARN * (min(SLOW_MOST, event.took / self.usual[kind]) - known.slow)
             host.typical += LEARN * (attempt.load - host.typical)
             # Capped, so that in a jam an idle server still seems worth a try and the end of it is noticed.
             most = START_OF_AIM * self.s.classes[kind].aim
@@ -273,7 +271,7 @@
         if event.outcome is Outcome.SERVED:
             host.fails /= 2
         elif event.outcome not in (Outcome.CANCELLED, Outcome.NEVER_SENT):
-            host.fails = min(FAIL_MOST, host.fails + 1)
+            host.fails = min(host.fails + 1, 1 / LEARN)  # soon forgiven
 
     # -- counts -------------------------------------------------------------------------------------------
 
@@ -329,6 +327,7 @@
         """Every approval is told to one gateway of the set, which adds them up; the next one stands in."""
         rank = self._member(account, (account.customer * KEEPER_STRIDE >> 16) + number)
         if number >= min(KEEPERS, account.size):
+            account.fresh = False  # nobody answers: the part of those unheard is left to them instead
             return
         if rank != self.rank:
             asks = account.fresh or self.now - self.heard.get(rank, 0) > ANSWER_WITHIN
--- a/orchidlane/state.py
+++ b/orchidlane/state.py
@@ -50,21 +50,27 @@
 
 
 @dataclass(slots=True)
-class Host:
-    """A server: what discovery says and what requests met."""
+class Known:
+    """What requests met lately, at one server or at all."""
 
-    entry: api.ServerEntry
     seen: int  # when it last taught us something
     slow: float = 1.0
     fails: float = 0.0
-    out: int = 0
-    active: int = 0  # last answer, or when the first of those out was sent
-    typical: float = 2.0  # load that its answer times were met under
 
-    def marks(self, now: int, fade_over: int) -> tuple[float, float]:
+    def marks(self, now: int, fade_over: int, prior: float = 1.0) -> tuple[float, float]:
         """How slow it is and how often it failed, each faded by the time since it taught us something."""
         fade = math.exp((self.seen - now) / fade_over)
-        return 1 + (self.slow - 1) * fade, self.fails * fade
+        return prior + (self.slow - prior) * fade, self.fails * fade
+
+
+@dataclass(slots=True)
+class Host(Known):
+    """A server: what discovery says and what requests met."""
+
+    entry: api.ServerEntry = field(kw_only=True)
+    out: int = 0
+    active: int = 0  # last answer, or when the first of those out was sent
+    typical: float = 2.0  # load that its answer times were met under
 
     def shares(self, group: api.Group) -> int:
         """What two servers have in common that drop each other's repeats."""
@@ -77,6 +83,7 @@
     def __init__(self) -> None:
         self.hosts: list[Host] = []
         self.places: dict[api.Server, int] = {}
+        self.met = Known(0)  # by all of them together
 
     def add(self, host: Host) -> None:
         """Put a server in, once."""
@@ -155,7 +162,7 @@
             if host is not None and (anew or entry.phase is not api.Phase.READY):
                 self._take_out(host)
             if host is None or anew:
-                host = self.hosts[entry.server] = Host(entry, now)
+                host = self.hosts[entry.server] = Host(now, entry=entry)
             host.entry = entry
             if entry.phase is api.Phase.READY and (anew or not was_ready):
                 self.cells.setdefault(entry.cell, Pool()).add(host)
--- a/tests/test_counts.py
+++ b/tests/test_counts.py
@@ -199,6 +199,14 @@
     assert bench.gateway.unheard == 0.0
 
 
+def test_a_customer_whose_keepers_all_keep_silent_is_not_locked_to_its_first_share():
+    """In a cut a new customer got its share once and nothing more, for nobody answered."""
+    bench = Bench(gateways=60)
+    let_in(bench, 3, size=50)
+    bench.run(3 * SECOND)
+    assert let_in(bench, 3, start=10, size=50) > 1
+
+
 def test_messages_stay_within_size_and_intake():
     bench = heard()
     for i in range(1, 400):
--- a/tests/test_servers.py
+++ b/tests/test_servers.py
@@ -27,6 +27,18 @@
     assert sum(serve(bench, r, lambda _: 20_000) is not None for r in range(200, 240)) > 30
 
 
+def test_a_jam_of_the_whole_fleet_is_noticed_by_a_gateway_that_meets_each_server_seldom():
+    """Each of many gateways met each server once in many seconds, learnt nothing, let all in (incident)."""
+    bench = Bench(servers=200)
+    for request in range(1, 40):
+        serve(bench, request, lambda _: 60_000)
+    before = sum(serve(bench, r, lambda _: 3 * SECOND) is not None for r in range(100, 140))
+    during = sum(serve(bench, r, lambda _: 3 * SECOND) is not None for r in range(200, 240))
+    assert during < before / 2
+    bench.run(15 * SECOND)
+    assert serve(bench, 300, lambda _: 60_000) is not None
+
+
 def test_slow_servers_get_less_and_come_back():
     bench = Bench(servers=4)
     slow = entry(0).server
