--- a/orchidlane/messages.py
+++ b/orchidlane/messages.py
@@ -4,7 +4,8 @@
 
     head  u8 format, u8 flags (1: answer this, 2: spread this), u32 send time in ms (its low bits)
     row   customer, plan, first gateway of its set, size of the set, how many of the set the receiver hands
-          it on to, room in 1/16 units, all units known to be spent in 1/16 units, number of counts, counts
+          it on to, room, all units known to be spent, rights of its ceiling wanted (flag 2) or given, all in
+          1/16 units, number of counts, counts
     count place in the set (0: its first gateway), age of its start in 1/16 s, value in 1/16 units
 """
 
@@ -33,6 +34,7 @@
     reach: int
     room: float
     total: float
+    rights: float
     counts: tuple[tuple[int, int, float], ...]
 
 
@@ -71,7 +73,7 @@
     """One row as bytes; starts are told as ages at the send time."""
     out, first, ticks = bytearray(), row.set_first, sent // TICK
     _put(out, row.customer, row.plan, first, row.set_size, row.reach)
-    _put(out, int(row.room * SCALE), int(row.total * SCALE), len(row.counts))
+    _put(out, int(row.room * SCALE), int(row.total * SCALE), int(row.rights * SCALE), len(row.counts))
     for rank, start, value in row.counts:
         _put(out, (rank - first) % ranks, max(0, ticks - start), int(value * SCALE))
     return bytes(out)
@@ -107,10 +109,10 @@
         ticks, rows, at = sent // TICK, [], HEAD
         while at < len(body):
             head = []
-            for _ in range(8):
+            for _ in range(9):
                 value, at = _read_varint(body, at)
                 head.append(value)
-            customer, plan, first, size, reach, room, total, number = head
+            customer, plan, first, size, reach, room, total, rights, number = head
             if plan >= plans or first >= ranks or not 1 <= size <= ranks or reach >= size or number > size:
                 return None
             counts = []
@@ -121,7 +123,8 @@
                 if place >= size:
                     return None
                 counts.append(((first + place) % ranks, ticks - age, value / SCALE))
-            rows.append(Row(customer, plan, first, size, reach, room / SCALE, total / SCALE, tuple(counts)))
+            amounts = room / SCALE, total / SCALE, rights / SCALE
+            rows.append(Row(customer, plan, first, size, reach, *amounts, tuple(counts)))
         return Message(sent, body[1] & 1 == 1, body[1] & 2 == 2, tuple(rows))
     except (IndexError, ValueError):
         return None
--- a/orchidlane/rules.py
+++ b/orchidlane/rules.py
@@ -23,7 +23,6 @@
 FAN = 12  # gateways told at once: the rest of a larger set is told by them, each has a part of it
 NEWS_MOST = 3  # counts in a row; older ones are within its total
 LOOK_AT, IDLE_LOOKS = 32, 3  # customers looked at for one message / for being idle, to bound the work
-OUT_MOST = 8  # others' latest approvals remembered for open caps
 LATE_MOST = 5 * SECOND  # a message that took longer, or comes from so far ahead, is not believed
 CLOSE, REOPEN = 0.25, 0.6  # of the burst: with less room a customer is refused, until so much is back
 ANSWER_WITHIN = 200 * MS  # a keeper not heard for so long is asked to answer as soon; else the next is told
@@ -39,7 +38,6 @@
 FORGET = 3 * SECOND  # after this a slow server's mark has faded to a third: gentle return
 SLOW_MOST = 8.0  # times the idle answer time that one answer may count for
 FAIL_WEIGHT = 3.0  # an attempt that failed makes a server look this much slower
-ZONE_WEIGHT = 4.0  # times the charge for crossing zones, by which a far server looks slower
 CHOICES = 12  # servers compared for one request
 SPREAD = 0.1  # random part of a comparison, against herding of gateways
 COLD_CARE = 0.9  # of the fair share of a cold server's least capacity that is used
@@ -49,7 +47,7 @@
 HOLD = 20 * MS  # between two looks at a request that has no server
 REPEAT_BUDGET = 0.05  # further attempts earned by each request: no retry storms
 REPEAT_MOST = 5.0  # further attempts saved up
-SHED_LOW, SHED_HIGH = 0.05, 0.2  # of the aim beyond the usual time: slower, the cheapest / dearest is refused
+SHED = 0.15  # of the aim beyond the usual time: slower, a request is refused
 TURN, ASKED = 0, 1 << 40  # tokens of timers: gossip, answers due; a request's has its id + 1
 
 
@@ -61,7 +59,7 @@
         self.s, self.random, self.now, self.filled = settings, random.Random(seed), now, now
         self.rank, self.alone = settings.rank, not settings.may_tell_peers
         self.usual = [START_OF_AIM * c.aim for c in settings.classes]
-        self.budget, self.dearest, self.unheard = REPEAT_MOST, 0.0, 0.0
+        self.budget, self.unheard = REPEAT_MOST, 0.0
         self.allowance = self.per_second = INTAKE_SHARE * settings.peer_intake
 
     def start(self) -> list[api.Action]:
@@ -107,6 +105,7 @@
         plan, request.account = self.s.plans[account.plan], account
         self._lift(account)
         if plan.ceiling_rate and account.ceiling < event.units:
+            self._tell_keeper(account, 0)
             return False
         if plan.open:  # what others approved lately is taken to be out for as long as usual
             others = sum(self.now - at < self.usual[event.kind] for at in account.others)
@@ -118,12 +117,9 @@
         return not plan.rate or (not account.closed and room >= event.units)
 
     def _patience(self, request: Request) -> float:
-        """The longest expected answer time at which a request is let in: longer the more its work earns."""
-        event, usual = request.event, self.usual[request.event.kind]
-        earns = request.cls.worth * self.s.plans[event.plan].price * event.units / usual
-        self.dearest = max(self.dearest * 0.999, earns)
-        share = SHED_LOW + (SHED_HIGH - SHED_LOW) * earns / self.dearest
-        return usual + share * max(0.0, min(request.cls.aim, event.time_left) - usual)
+        """The longest expected answer time at which a request is let in: it must still be in time."""
+        usual = self.usual[request.event.kind]
+        return usual + SHED * max(0.0, min(request.cls.aim, request.event.time_left) - usual)
 
     def _choose(self, request: Request) -> Host | None:
         """The server that should answer soonest among those that the rules allow for this request."""
@@ -137,7 +133,6 @@
 
     def _cost(self, request: Request, host: Host) -> float:
         cost = self._expected(host, request.event.kind) * (1 + SPREAD * self.random.random())
-        cost *= 1 + ZONE_WEIGHT * self.s.cross_zone_charge * (host.entry.zone != self.s.zone)
         return cost * (1 + FAIL_WEIGHT * any(a.host is host for a in request.attempts))
 
     def _may_send(self, request: Request, host: Host) -> bool:
@@ -156,8 +151,7 @@
         return not host.entry.launched or self.now - host.entry.launched >= self.s.warm_within
 
     def _cold_one(self, request: Request) -> Host | None:
-        """Rule 4: each attempt draws one server of all; a cold one is taken with the chance that its
-        least capacity allows. So a cold server gets its part of a fair share, however many gateways send."""
+        """Rule 4: each attempt draws one of all servers; a cold one serves as often as it can."""
         while self.warming and self._is_warm(self.warming[0]):
             self.warm_first()
         cold = self.cold.hosts
@@ -171,41 +165,29 @@
 
     def _send(self, request: Request, host: Host) -> None:
         """Every send passes here."""
-        event, account = request.event, request.account
         if not request.attempts:
-            self._spend(account, event.units)
+            self._spend(request.account, request.event.units)
         if not host.out:
             host.active = self.now
-        attempt = Attempt(host, self.now, host.out + BASE)
-        host.out += 1
-        account.out += 1
-        self.attempts[event.request, len(request.attempts)] = attempt, event.kind, account
-        request.attempts.append(attempt)
+        self.begin(request, Attempt(host, self.now, host.out + BASE))
         request.lot = self.random.random()
-        self.actions.append(api.Send(event.request, host.entry.server, request.until))
+        self.actions.append(api.Send(request.event.request, host.entry.server, request.until))
 
     # -- what becomes of it -------------------------------------------------------------------------------
 
     def _attempt_ended(self, event: api.AttemptEnded) -> None:
         if (event.request, event.attempt) not in self.attempts:
             return
-        attempt, kind, account = self.attempts.pop((event.request, event.attempt))
+        attempt, kind = self.ended(event.request, event.attempt)
         self._learn(attempt, kind, event)
-        attempt.out = False
         attempt.ran = event.outcome not in (Outcome.FULL, Outcome.NOT_CONNECTED, Outcome.NEVER_SENT)
-        account.out -= 1
         request = self.requests.get(event.request)
         if request and event.answered:
             self._drop(request)
-        elif request and not request.out:
-            (self._advance if self._may_repeat(request) else self._end)(request)
-
-    def _may_repeat(self, request: Request) -> bool:
-        """A budget for further attempts: failures must not multiply the load. What never ran is free."""
-        if not request.attempts[-1].ran:
-            return True
-        self.budget -= 1
-        return self.budget >= 0 and request.cls.effect is not Effect.UNSAFE
+        elif request:  # A budget for repeats: failures must not multiply the load. What never ran is free.
+            self.budget -= attempt.ran
+            repeat = self.budget >= 0 and request.cls.effect is not Effect.UNSAFE
+            (self._advance if repeat or not attempt.ran else self._end)(request)
 
     def _end(self, request: Request) -> None:
         """Every final answer of ours passes here: refuse where a retry is harmless, else fail."""
@@ -253,7 +235,6 @@
     def _learn(self, attempt: Attempt, kind: int, event: api.AttemptEnded) -> None:
         """Each outcome tells of its server; a mark fades unless renewed, so that traffic returns gently."""
         host = attempt.host
-        host.out -= 1
         host.slow, host.fails = host.marks(self.now, FORGET)
         host.seen = self.now
         if event.outcome in (Outcome.SERVED, Outcome.ERROR, Outcome.FULL):
@@ -288,9 +269,12 @@
     def _lift(self, account: Account) -> None:
         """Raise the limit by the time gone; room stays within the burst."""
         plan, span, account.risen = self.s.plans[account.plan], self.now - account.risen, self.now
-        # Rule 5: each gateway alone fills its share of the ceiling's store, from nothing at its start.
-        gained = plan.ceiling_rate / account.size * span / SECOND
-        account.ceiling = min(plan.ceiling_burst / account.size, account.ceiling + gained)
+        # Rule 5: each gateway alone fills its part of the ceiling's store, from nothing at its start. Half is
+        # the first keeper's, who gives of it what others want: it takes that off before it tells them.
+        part = (1 + account.size * self._is_keeper(account)) / (2 * account.size)
+        gained = plan.ceiling_rate * part * span / SECOND
+        account.ceiling = min(plan.ceiling_burst * part, account.ceiling + gained)
+        account.wants = max(0.0, plan.ceiling_burst * part - account.ceiling)
         part = 1.0 if self.alone else self.unheard
         share = 1 - part * (account.size - 1) / account.size if part >= UNHEARD_LEAST else 1.0
         burst = plan.burst * share  # what unheard gateways may spend is left to them
@@ -320,6 +304,9 @@
 
     # -- gossip -------------------------------------------------------------------------------------------
 
+    def _is_keeper(self, account: Account) -> bool:
+        return self._member(account, account.customer * KEEPER_STRIDE >> 16) == self.rank
+
     def _member(self, account: Account, place: int) -> int:
         return (account.first + place % account.size) % self.s.gateways
 
@@ -330,8 +317,10 @@
             account.fresh = False  # nobody answers: the part of those unheard is left to them instead
             return
         if rank != self.rank:
-            asks = account.fresh or self.now - self.heard.get(rank, 0) > ANSWER_WITHIN
-            self._tell(rank, [self._row(account, 0)], account.customer, number if asks else None, keep=True)
+            self._lift(account)
+            row, account.asked = self._row(account, 0, account.wants), account.wants
+            asks = account.fresh or account.wants or self.now - self.heard.get(rank, 0) > ANSWER_WITHIN
+            self._tell(rank, [row], account.customer, number if asks else None, keep=True)
         elif account.fresh:
             self._tell_keeper(account, number + 1)
         else:
@@ -397,10 +386,10 @@
         self.actions.append(api.TellPeer(rank, body))
         return True
 
-    def _row(self, account: Account, reach: int) -> bytes:
+    def _row(self, account: Account, reach: int, rights: float = 0.0) -> bytes:
         self._lift(account)
         counts = tuple((rank, *account.counts[rank]) for rank in account.news)
-        row = messages.Row(account.customer, *account.key, reach, account.room, account.total, counts)
+        row = messages.Row(account.customer, *account.key, reach, account.room, account.total, rights, counts)
         return messages.pack_row(row, self.now // MS, self.s.gateways)
 
     def _peer_message(self, event: api.PeerMessage) -> None:
@@ -417,24 +406,35 @@
                 if message.keep:
                     self._keep(accounts[-1])
         if message.ask:
-            self._tell(event.sender, messages.fit(self._row(account, 0) for account in accounts))
+            rows = (self._row(account, 0, self._give(account, message)) for account in accounts)
+            self._tell(event.sender, messages.fit(rows))
+
+    def _give(self, account: Account, message: messages.Message) -> float:
+        """Rights of a ceiling that one row wants: off our part before they are told, so that loss is safe."""
+        given = (
+            min(account.ceiling, message.rows[0].rights) if message.keep and self._is_keeper(account) else 0.0
+        )
+        account.ceiling -= given
+        return given
 
     def _merge(self, row: messages.Row, sender: int, age: int, keep: bool) -> Account:
         """Newer start, then larger value; the larger limit."""
         account = self._account(row.customer, row.plan, row.set_first, row.set_size, trusted=False)
-        account.fresh = False
+        account.fresh, plan = False, self.s.plans[account.plan]
         self._lift(account)
-        told = 0.0
+        told, given = 0.0, 0.0 if keep else min(row.rights, account.asked)
+        account.ceiling, account.asked = account.ceiling + given, account.asked - given
         for rank, start, value in row.counts:
             if rank != self.rank:  # our own count is ours; an earlier life's is within the total
                 grown = self._count(account, rank, start, value)
                 told += grown * (rank == sender and keep)
-                account.others = (*account.others[-OUT_MOST:], self.now) if grown else account.others
+                if grown:
+                    account.others = (*account.others, self.now)[-max(1, plan.open) :]
         if told:  # what is spread reaches all without
             self.changed[account.customer] = None
         # The total tells of counts that did not fit or were lost, so that a gateway that missed them knows.
         account.total = max(account.total + told, account.spent, row.total)
-        refilled = self.s.plans[account.plan].rate * age / SECOND
+        refilled = plan.rate * age / SECOND
         account.limit = max(account.limit, row.total + row.room + refilled)
         self._lift(account)
         return account
--- a/orchidlane/state.py
+++ b/orchidlane/state.py
@@ -25,7 +25,9 @@
     out: int = 0
     others: tuple[int, ...] = ()  # when others' latest approvals became known
     spread: int = 0  # when its set was last told
-    ceiling: float = 0.0
+    ceiling: float = 0.0  # units that its ceiling lets us send
+    wants: float = 0.0  # what our part of it lacks
+    asked: float = 0.0  # rights asked for and not yet given
     closed: bool = False  # it was fast and spent nearly all: refused until a good part is back
 
     @property
@@ -144,9 +146,24 @@
         self.zones: dict[int, Pool] = {}
         self.warming: deque[tuple[int, Host]] = deque()  # cold servers by launch
         self.requests: dict[int, Request] = {}
-        self.attempts: dict[tuple[int, int], tuple[Attempt, int, Account]] = {}
+        self.attempts: dict[tuple[int, int], tuple[Attempt, Request]] = {}
         self.actions: list[api.Action] = []
 
+    def begin(self, request: Request, attempt: Attempt) -> None:
+        """Count one more attempt in."""
+        attempt.host.out += 1
+        request.account.out += 1
+        self.attempts[request.event.request, len(request.attempts)] = attempt, request
+        request.attempts.append(attempt)
+
+    def ended(self, request: int, number: int) -> tuple[Attempt, int]:
+        """Count an attempt out; it and its request's class."""
+        attempt, of = self.attempts.pop((request, number))
+        attempt.out = False
+        attempt.host.out -= 1
+        of.account.out -= 1
+        return attempt, of.event.kind
+
     def apply_list(self, event: api.ServerListed, now: int) -> list[Host]:
         """Bring the servers up to date with discovery; those that are ready and new or started anew."""
         if event.kind is not api.ListKind.CHANGES:
