--- a/orchidlane/rules.py
+++ b/orchidlane/rules.py
@@ -225,8 +225,8 @@
 
     def _expected(self, host: Host, kind: int) -> float:
         """The expected answer time: what requests met there, how the load changed, how long it is quiet."""
-        zone, _ = self.zones[host.entry.zone].met.marks(self.now, FORGET)
-        slow, fails = host.marks(self.now, FORGET, zone)  # not met lately: like the others of its zone
+        fleet, _ = self.met.marks(self.now, FORGET)
+        slow, fails = host.marks(self.now, FORGET, fleet)  # not met lately: like all the others
         time = self.usual[kind] * slow * (1 + FAIL_WEIGHT * fails) * (host.out + BASE) / host.typical
         if host.out:  # guards against a stalling or dead server: it answers nobody
             time = max(time, self.now - host.active)
@@ -240,10 +240,10 @@
         if event.outcome in (Outcome.SERVED, Outcome.ERROR, Outcome.FULL):
             host.active = self.now
         if event.outcome in (Outcome.SERVED, Outcome.TIMED_OUT):
-            # Guards against a jam of a whole zone, where a gateway meets each server too seldom to learn.
-            zone = self.zones[host.entry.zone].met
-            zone.slow, zone.seen = zone.marks(self.now, FORGET)[0], self.now
-            for known in (host, zone):
+            # Guards against a jam of all servers, where a gateway meets each of them too seldom to learn.
+            fleet = self.met
+            fleet.slow, fleet.seen = fleet.marks(self.now, FORGET)[0], self.now
+            for known in (host, fleet):
                 known.slow += LEARN * (min(SLOW_MOST, event.took / self.usual[kind]) - known.slow)
             host.typical += LEARN * (attempt.load - host.typical)
             # Capped, so that in a jam an idle server still seems worth a try and the end of it is noticed.
--- a/orchidlane/state.py
+++ b/orchidlane/state.py
@@ -85,7 +85,6 @@
     def __init__(self) -> None:
         self.hosts: list[Host] = []
         self.places: dict[api.Server, int] = {}
-        self.met = Known(0)  # by all of them together
 
     def add(self, host: Host) -> None:
         """Put a server in, once."""
@@ -141,6 +140,7 @@
         self.heard: dict[int, int] = {}  # rank -> when it was last heard
         self.asked: deque[tuple[int, int, int, int]] = deque()  # when, rank, customer, which keeper
         self.hosts: dict[api.Server, Host] = {}
+        self.met = Known(0)  # by all servers together
         self.warm, self.cold = Pool(), Pool()
         self.cells: dict[int, Pool] = {}
         self.zones: dict[int, Pool] = {}
