--- a/orchidlane/rules.py
+++ b/orchidlane/rules.py
@@ -133,6 +133,7 @@
 
     def _cost(self, request: Request, host: Host) -> float:
         cost = self._expected(host, request.event.kind) * (1 + SPREAD * self.random.random())
+        cost *= 1 + FAIL_WEIGHT * self.zones[host.entry.zone].met.marks(self.now, FORGET)[1]
         return cost * (1 + FAIL_WEIGHT * any(a.host is host for a in request.attempts))
 
     def _may_send(self, request: Request, host: Host) -> bool:
@@ -234,25 +235,24 @@
 
     def _learn(self, attempt: Attempt, kind: int, event: api.AttemptEnded) -> None:
         """Each outcome tells of its server; a mark fades unless renewed, so that traffic returns gently."""
-        host = attempt.host
-        host.slow, host.fails = host.marks(self.now, FORGET)
-        host.seen = self.now
+        host, zone = attempt.host, self.zones[attempt.host.entry.zone].met
+        for known in (host, zone, self.met):
+            known.fade(self.now, FORGET)
         if event.outcome in (Outcome.SERVED, Outcome.ERROR, Outcome.FULL):
             host.active = self.now
         if event.outcome in (Outcome.SERVED, Outcome.TIMED_OUT):
             # Guards against a jam of all servers, where a gateway meets each of them too seldom to learn.
-            fleet = self.met
-            fleet.slow, fleet.seen = fleet.marks(self.now, FORGET)[0], self.now
-            for known in (host, fleet):
+            for known in (host, self.met):
                 known.slow += LEARN * (min(SLOW_MOST, event.took / self.usual[kind]) - known.slow)
             host.typical += LEARN * (attempt.load - host.typical)
             # Capped, so that in a jam an idle server still seems worth a try and the end of it is noticed.
             most = START_OF_AIM * self.s.classes[kind].aim
             self.usual[kind] = min(most, self.usual[kind] + LEARN / 5 * (event.took - self.usual[kind]))
-        if event.outcome is Outcome.SERVED:
-            host.fails /= 2
-        elif event.outcome not in (Outcome.CANCELLED, Outcome.NEVER_SENT):
-            host.fails = min(host.fails + 1, 1 / LEARN)  # soon forgiven
+        for known in (host, zone):  # in a cut each server of the zone would else be tried in turn
+            if event.outcome is Outcome.SERVED:
+                known.fails /= 2
+            elif event.outcome not in (Outcome.CANCELLED, Outcome.NEVER_SENT):
+                known.fails = min(known.fails + 1, 1 / LEARN)  # soon forgiven
 
     # -- counts -------------------------------------------------------------------------------------------
 
--- a/orchidlane/state.py
+++ b/orchidlane/state.py
@@ -64,6 +64,10 @@
         fade = math.exp((self.seen - now) / fade_over)
         return prior + (self.slow - prior) * fade, self.fails * fade
 
+    def fade(self, now: int, fade_over: int) -> None:
+        """Bring the marks up to now."""
+        (self.slow, self.fails), self.seen = self.marks(now, fade_over), now
+
 
 @dataclass(slots=True)
 class Host(Known):
@@ -85,6 +89,7 @@
     def __init__(self) -> None:
         self.hosts: list[Host] = []
         self.places: dict[api.Server, int] = {}
+        self.met = Known(0)  # by all of them together
 
     def add(self, host: Host) -> None:
         """Put a server in, once."""
--- a/tests/test_servers.py
+++ b/tests/test_servers.py
@@ -67,6 +67,23 @@
     assert tried <= 5
 
 
+def test_a_zone_that_cannot_be_reached_is_avoided_before_each_of_its_servers_failed():
+    """In a cut each server of the other zone was tried in turn (ctva-kathmandu-later big-1)."""
+    bench, tried = Bench(servers=0), 0
+    far = {entry(i).server for i in range(50)}
+    bench.feed(listed(*(entry(i, zone=int(i >= 50)) for i in range(100))))
+    for request in range(1, 101):
+        out, attempt = of(bench.ask(request, customer=request), api.Send), 0
+        while out:
+            lost = out[0].server in far
+            tried += lost
+            outcome = Outcome.NOT_CONNECTED if lost else Outcome.SERVED
+            out = of(bench.outcome(request, out[0].server, outcome, attempt=attempt, took=30_000), api.Send)
+            attempt += 1
+        bench.run(20_000)
+    assert tried < 20
+
+
 def test_when_all_servers_fail_none_is_put_aside_for_good():
     bench = Bench(servers=3)
     for request in range(1, 30):
