--- a/orchidlane/rules.py
+++ b/orchidlane/rules.py
@@ -133,7 +133,7 @@
 
     def _cost(self, request: Request, host: Host) -> float:
         cost = self._expected(host, request.event.kind) * (1 + SPREAD * self.random.random())
-        cost *= 1 + FAIL_WEIGHT * self.zones[host.entry.zone].met.marks(self.now, FORGET)[1]
+        cost *= 1 + FAIL_WEIGHT * self.zones_met[host.entry.zone].marks(self.now, FORGET)[1]
         return cost * (1 + FAIL_WEIGHT * any(a.host is host for a in request.attempts))
 
     def _may_send(self, request: Request, host: Host) -> bool:
@@ -235,7 +235,7 @@
 
     def _learn(self, attempt: Attempt, kind: int, event: api.AttemptEnded) -> None:
         """Each outcome tells of its server; a mark fades unless renewed, so that traffic returns gently."""
-        host, zone = attempt.host, self.zones[attempt.host.entry.zone].met
+        host, zone = attempt.host, self.zones_met[attempt.host.entry.zone]
         for known in (host, zone, self.met):
             known.fade(self.now, FORGET)
         if event.outcome in (Outcome.SERVED, Outcome.ERROR, Outcome.FULL):
@@ -269,20 +269,22 @@
     def _lift(self, account: Account) -> None:
         """Raise the limit by the time gone; room stays within the burst."""
         plan, span, account.risen = self.s.plans[account.plan], self.now - account.risen, self.now
-        # Rule 5: each gateway alone fills its part of the ceiling's store, from nothing at its start. Half is
-        # the first keeper's, who gives of it what others want: it takes that off before it tells them.
-        part = (1 + account.size * self._is_keeper(account)) / (2 * account.size)
+        part = self._ceiling_part(account)
         gained = plan.ceiling_rate * part * span / SECOND
         account.ceiling = min(plan.ceiling_burst * part, account.ceiling + gained)
-        account.wants = max(0.0, plan.ceiling_burst * part - account.ceiling)
-        part = 1.0 if self.alone else self.unheard
-        share = 1 - part * (account.size - 1) / account.size if part >= UNHEARD_LEAST else 1.0
+        unheard = 1.0 if self.alone else self.unheard
+        share = 1 - unheard * (account.size - 1) / account.size if unheard >= UNHEARD_LEAST else 1.0
         burst = plan.burst * share  # what unheard gateways may spend is left to them
         # Debt: what went beyond the quota took nothing from the true store, so the limit never lies below.
         limit = max(account.total, account.limit + plan.rate * share * span / SECOND)
         account.limit = min(limit, account.total + burst)
         account.closed = account.room < (REOPEN if account.closed else CLOSE) * burst
 
+    def _ceiling_part(self, account: Account) -> float:
+        """Rule 5: each gateway alone fills its part of the ceiling's store, from nothing at its start. Half
+        is the first keeper's, who gives of it what others want: it takes that off before it tells them."""
+        return (1 + account.size * (self._keeper(account) == self.rank)) / (2 * account.size)
+
     def _spend(self, account: Account, units: float) -> None:
         start, value = account.counts.get(self.rank, (self.now // MS // messages.TICK, 0.0))
         account.total += self._count(account, self.rank, start, value + units)
@@ -304,22 +306,24 @@
 
     # -- gossip -------------------------------------------------------------------------------------------
 
-    def _is_keeper(self, account: Account) -> bool:
-        return self._member(account, account.customer * KEEPER_STRIDE >> 16) == self.rank
+    def _keeper(self, account: Account, number: int = 0) -> int:
+        return self._member(account, (account.customer * KEEPER_STRIDE >> 16) + number)
 
     def _member(self, account: Account, place: int) -> int:
         return (account.first + place % account.size) % self.s.gateways
 
     def _tell_keeper(self, account: Account, number: int) -> None:
         """Every approval is told to one gateway of the set, which adds them up; the next one stands in."""
-        rank = self._member(account, (account.customer * KEEPER_STRIDE >> 16) + number)
+        rank = self._keeper(account, number)
         if number >= min(KEEPERS, account.size):
             account.fresh = False  # nobody answers: the part of those unheard is left to them instead
             return
         if rank != self.rank:
             self._lift(account)
-            row, account.asked = self._row(account, 0, account.wants), account.wants
-            asks = account.fresh or account.wants or self.now - self.heard.get(rank, 0) > ANSWER_WITHIN
+            most = self.s.plans[account.plan].ceiling_burst * self._ceiling_part(account)
+            account.asked = max(0.0, most - account.ceiling)
+            asks = account.fresh or account.asked or self.now - self.heard.get(rank, 0) > ANSWER_WITHIN
+            row = self._row(account, 0, account.asked)
             self._tell(rank, [row], account.customer, number if asks else None, keep=True)
         elif account.fresh:
             self._tell_keeper(account, number + 1)
@@ -345,7 +349,7 @@
 
     def _hand_on(self, account: Account, reach: int) -> None:
         """Tell the next so many of the set: a few of them, each handing on to a part of the rest."""
-        place = (self.rank - account.first) % self.s.gateways
+        place = self._place(self.rank, account.first)
         step = -(-reach // FAN)
         done, part = 0, 1 + self.random.randrange(step) if reach else 0
         while done < reach:
@@ -359,18 +363,18 @@
         if not self.changed:
             return
         account = self.accounts[next(iter(self.changed))]
-        place = (self.rank - account.first) % self.s.gateways + 1 + self.random.randrange(account.size - 1)
-        rank = self._member(account, place)
+        place = self._place(self.rank, account.first)
+        rank = self._member(account, place + 1 + self.random.randrange(account.size - 1))
         looked = [self.accounts[customer] for customer in islice(self.changed, LOOK_AT)]
-        shared = [a for a in looked if self._serves(rank, a.first, a.size)]
+        shared = [a for a in looked if self._place(rank, a.first) < a.size]
         shared.sort(key=lambda a: a.room / (self.s.plans[a.plan].burst or 1.0))
         rows = messages.fit(self._row(a, 0) for a in shared)
         if self._tell(rank, rows, number=-1):
             for told in shared[: len(rows)]:
                 del self.changed[told.customer]
 
-    def _serves(self, rank: int, first: int, size: int) -> bool:
-        return (rank - first) % self.s.gateways < size
+    def _place(self, rank: int, first: int) -> int:
+        return (rank - first) % self.s.gateways
 
     def _tell(self, rank: int, rows: list[bytes], customer=0, number: int | None = None, keep=False) -> bool:
         """Every message passes here: all that one gateway sends stays below what one takes in."""
@@ -398,22 +402,21 @@
         if self.alone or not 0 <= event.sender < self.s.gateways or abs(age) >= LATE_MOST:
             return
         self.heard[event.sender] = self.now
-        accounts = []
+        merged = []
         for row in message.rows:
-            if self._serves(self.rank, row.set_first, row.set_size):
-                accounts.append(self._merge(row, event.sender, max(0, age), message.keep))
-                self._hand_on(accounts[-1], min(row.reach, accounts[-1].size - 1))
+            if self._place(self.rank, row.set_first) < row.set_size:
+                account = self._merge(row, event.sender, max(0, age), message.keep)
+                merged.append((account, row.rights if message.keep else 0.0))
+                self._hand_on(account, min(row.reach, account.size - 1))
                 if message.keep:
-                    self._keep(accounts[-1])
+                    self._keep(account)
         if message.ask:
-            rows = (self._row(account, 0, self._give(account, message)) for account in accounts)
+            rows = (self._row(account, 0, self._give(account, wanted)) for account, wanted in merged)
             self._tell(event.sender, messages.fit(rows))
 
-    def _give(self, account: Account, message: messages.Message) -> float:
-        """Rights of a ceiling that one row wants: off our part before they are told, so that loss is safe."""
-        given = (
-            min(account.ceiling, message.rows[0].rights) if message.keep and self._is_keeper(account) else 0.0
-        )
+    def _give(self, account: Account, wanted: float) -> float:
+        """Rights of a ceiling, off our part before they are told, so that loss is safe."""
+        given = min(account.ceiling, wanted) if self._keeper(account) == self.rank else 0.0
         account.ceiling -= given
         return given
 
@@ -434,8 +437,7 @@
             self.changed[account.customer] = None
         # The total tells of counts that did not fit or were lost, so that a gateway that missed them knows.
         account.total = max(account.total + told, account.spent, row.total)
-        refilled = plan.rate * age / SECOND
-        account.limit = max(account.limit, row.total + row.room + refilled)
+        account.limit = max(account.limit, row.total + row.room + plan.rate * age / SECOND)
         self._lift(account)
         return account
 
--- a/orchidlane/state.py
+++ b/orchidlane/state.py
@@ -26,7 +26,6 @@
     others: tuple[int, ...] = ()  # when others' latest approvals became known
     spread: int = 0  # when its set was last told
     ceiling: float = 0.0  # units that its ceiling lets us send
-    wants: float = 0.0  # what our part of it lacks
     asked: float = 0.0  # rights asked for and not yet given
     closed: bool = False  # it was fast and spent nearly all: refused until a good part is back
 
@@ -89,7 +88,6 @@
     def __init__(self) -> None:
         self.hosts: list[Host] = []
         self.places: dict[api.Server, int] = {}
-        self.met = Known(0)  # by all of them together
 
     def add(self, host: Host) -> None:
         """Put a server in, once."""
@@ -146,10 +144,11 @@
         self.asked: deque[tuple[int, int, int, int]] = deque()  # when, rank, customer, which keeper
         self.hosts: dict[api.Server, Host] = {}
         self.met = Known(0)  # by all servers together
+        self.zones_met: dict[int, Known] = {}  # by those of one zone
         self.warm, self.cold = Pool(), Pool()
         self.cells: dict[int, Pool] = {}
         self.zones: dict[int, Pool] = {}
-        self.warming: deque[tuple[int, Host]] = deque()  # cold servers by launch
+        self.warming: deque[Host] = deque()  # servers in the order of their listing, until they are warm
         self.requests: dict[int, Request] = {}
         self.attempts: dict[tuple[int, int], tuple[Attempt, Request]] = {}
         self.actions: list[api.Action] = []
@@ -186,6 +185,7 @@
             if host is None or anew:
                 host = self.hosts[entry.server] = Host(now, entry=entry)
             host.entry = entry
+            self.zones_met.setdefault(entry.zone, Known(0))
             if entry.phase is api.Phase.READY and (anew or not was_ready):
                 self.cells.setdefault(entry.cell, Pool()).add(host)
                 self.zones.setdefault(entry.zone, Pool()).add(host)
@@ -193,7 +193,7 @@
         return fresh
 
     def warm_first(self) -> None:
-        """The cold server that was listed first joins the warm ones, if it still runs."""
+        """The server that was listed first joins the warm ones, if it still runs."""
         host = self.warming.popleft()
         if self.hosts.get(host.entry.server) is host and host.entry.phase is api.Phase.READY:
             self.cold.remove(host.entry.server)
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -229,7 +229,7 @@
 
 def test_a_keeper_gives_rights_of_a_ceiling_only_once():
     """What it gives is off its own part first; together no more than the ceiling's store goes out."""
-    keeper = next(r for r in range(3) if Bench(rank=r).gateway._is_keeper(Account(1, (2, 0, 3), 8.0, T0)))
+    keeper = next(r for r in range(3) if Bench(rank=r).gateway._keeper(Account(1, (2, 0, 3), 8.0, T0)) == r)
     bench = Bench(rank=keeper)
     other = (keeper + 1) % 3
     hear(bench, other, ceiling_row(0.0), keep=True)
