--- /dev/null
+++ b/orchidlane/__main__.py
@@ -0,0 +1,5 @@
+"""``python -m orchidlane``."""
+
+from .cli import main
+
+main()
--- /dev/null
+++ b/orchidlane/cli/main.py
@@ -0,0 +1,151 @@
+"""The ``orchidlane`` command.
+
+Exit codes: 0 done, 1 the answer is no (a rule broken, a check failed), 2 the input can't be used.
+"""
+
+from __future__ import annotations
+
+import json
+import logging
+import sys
+from collections.abc import Iterator
+from contextlib import contextmanager
+from pathlib import Path
+
+import click
+import structlog
+
+from .. import config
+from ..config import ConfigError
+from ..gateway.customers import CustomersError
+from ..gateway.settings import load_fleet, schema
+from ..routes import DescriptionError, Match, build, load_description
+
+UNUSABLE = 2
+
+
+@contextmanager
+def clear_errors() -> Iterator[None]:
+    """What is wrong with the input, one problem a line, and no traceback."""
+    try:
+        yield
+    except (ConfigError, DescriptionError, CustomersError, ValueError) as wrong:
+        click.echo(str(wrong), err=True)
+        sys.exit(UNUSABLE)
+    except OSError as wrong:
+        click.echo(f"{wrong.filename or ''}: {wrong.strerror or wrong}".lstrip(": "), err=True)
+        sys.exit(UNUSABLE)
+
+
+@click.group(context_settings={"help_option_names": ["-h", "--help"]})
+@click.version_option(package_name="orchidlane")
+def main() -> None:
+    """An API gateway that keeps quotas and priorities across a fleet of instances."""
+    structlog.configure(
+        processors=[
+            structlog.processors.add_log_level,
+            structlog.processors.TimeStamper(fmt="iso"),
+            structlog.processors.JSONRenderer(),
+        ],
+        logger_factory=structlog.PrintLoggerFactory(sys.stderr),
+        wrapper_class=structlog.make_filtering_bound_logger(logging.INFO),
+        cache_logger_on_first_use=True,
+    )
+
+
+@main.command()
+@click.argument("settings")
+@click.option("--rank", type=int, default=0, help="Place in the settings' list of gateways.")
+def gateway(settings: str, rank: int) -> None:
+    """Run one gateway of the fleet until SIGTERM."""
+    from .run import run_gateway
+
+    with clear_errors():
+        run_gateway(load_fleet(settings), rank)
+
+
+@main.command("lab-node", hidden=True)
+@click.argument("spec")
+def lab_node(spec: str) -> None:
+    """Run one stand-in node."""
+    from .run import run_node
+
+    run_node(spec)
+
+
+@main.command()
+@click.argument("script")
+@click.option("--seed", type=int, default=1, show_default=True)
+@click.option("--world", type=click.Choice(["real", "simulated"]), default="real", show_default=True)
+@click.option("--json", "report", type=click.Path(dir_okay=False), help="Write the verdict to a file.")
+@click.option("--keep", type=click.Path(file_okay=False), help="Keep logs and records in this folder.")
+def day(script: str, seed: int, world: str, report: str | None, keep: str | None) -> None:
+    """Play a scripted day and audit it: exit 0 only when all five rules held."""
+    from ..lab.backing import play, simulate
+    from ..lab.day import load_day
+
+    with clear_errors():
+        loaded = load_day(script)
+    structlog.configure(wrapper_class=structlog.make_filtering_bound_logger(logging.CRITICAL))
+    if keep:
+        Path(keep).mkdir(parents=True, exist_ok=True)
+    verdict = simulate(loaded, seed) if world == "simulated" else play(loaded, seed, keep)
+    text = json.dumps(verdict.as_json(), indent=2)
+    if report:
+        Path(report).write_text(text + "\n")
+    click.echo(text)
+    sys.exit(0 if all(verdict.rules.values()) else 1)
+
+
+@main.group("config")
+def config_group() -> None:
+    """Check and show settings."""
+
+
+@config_group.command("check")
+@click.argument("file")
+def config_check(file: str) -> None:
+    """Whether a file of settings can be used; every problem on a line of its own."""
+    with clear_errors():
+        load_fleet(file)
+    click.echo(f"{file}: fine")
+
+
+@config_group.command("show")
+@click.argument("file")
+def config_show(file: str) -> None:
+    """The settings with all defaults filled in."""
+    with clear_errors():
+        value = config.plain(Path(file).read_text(), file, schema(), "#Fleet")
+    click.echo(config.render(value)[2:-2].replace("\n\t", "\n").lstrip("\t"))
+
+
+@main.command()
+@click.argument("file")
+@click.option("--match", help="Explain one request, such as 'GET /x/y'.")
+def routes(file: str, match: str | None) -> None:
+    """Print class, cost and path of each operation of a description."""
+    with clear_errors():
+        generation = build(load_description(Path(file).read_bytes(), file), file)
+    if match is None:
+        for one in sorted(generation.operations, key=lambda operation: (operation.path, operation.method)):
+            cls = generation.classes[one.kind]
+            click.echo(f"{one.class_name:20} {one.cost:6g} {cls.effect.value:7} {one.method:7} {one.path}")
+        return
+    method, _, target = match.partition(" ")
+    found = generation.match(method.upper(), target.encode())
+    if not isinstance(found, Match):
+        click.echo(
+            f"{found.status} {found.detail}" + (f"; allow: {', '.join(found.allow)}" if found.allow else "")
+        )
+        sys.exit(1)
+    operation, cls = found.operation, generation.classes[found.operation.kind]
+    click.echo(f"operation  {operation.name}: {operation.method} {operation.path}")
+    click.echo(f"path       {found.path}")
+    for name, value in found.parameters.items():
+        click.echo(f"  {name} = {value}")
+    click.echo(f"class      {operation.class_name}, worth {cls.worth:g}, {cls.effect.value}")
+    if cls.effect.value == "keyed":
+        click.echo(f"  repeats are dropped within {cls.window / 1e6:g} s, group {cls.group.value}")
+    click.echo(f"cost       {operation.cost:g} units")
+    click.echo(f"aim        {cls.aim / 1e3:g} ms, deadline {cls.deadline / 1e3:g} ms")
--- /dev/null
+++ b/orchidlane/cli/run.py
@@ -0,0 +1,58 @@
+"""The processes: a gateway and a stand-in node, with their signals."""
+
+from __future__ import annotations
+
+import contextlib
+import signal
+import socket
+from collections.abc import Callable
+from pathlib import Path
+
+import msgspec
+
+from ..gateway.program import Program
+from ..gateway.settings import Fleet, read_secret
+from ..lab.node import Node, NodeSpec
+from ..loop import CONTROL, Loop, RealWorld, Scope
+
+
+def run_gateway(fleet: Fleet, rank: int) -> None:
+    """Run one gateway: SIGTERM and SIGINT drain it, SIGHUP reloads description and customers."""
+    if not 0 <= rank < len(fleet.gateways):
+        raise ValueError(f"--rank: found {rank}, allowed: 0 to {len(fleet.gateways) - 1}")
+    secret = read_secret(fleet.peers.secret_file)
+    world = RealWorld()
+    loop = Loop(world)
+    program = Program(loop, fleet, rank, secret)
+    handlers = {signal.SIGTERM: program.stop, signal.SIGINT: program.stop, signal.SIGHUP: program.reload}
+    loop.run(_with_signals, loop, world, handlers, program.run)
+
+
+def _with_signals(
+    loop: Loop, world: RealWorld, handlers: dict[signal.Signals, Callable[[], None]], work: Callable[[], None]
+) -> None:
+    """Run ``work`` with signals brought to the loop as bytes on a pair of sockets."""
+    ours, theirs = socket.socketpair()
+    theirs.setblocking(False)
+    for number in handlers:
+        signal.signal(number, lambda *_: None)
+    signal.set_wakeup_fd(theirs.fileno(), warn_on_full_buffer=False)
+    stream = world.adopt(ours)
+
+    def listen() -> None:
+        while True:
+            for number in stream.recv():
+                handlers[signal.Signals(number)]()
+
+    with Scope(loop) as scope:
+        scope.spawn(listen, kind=CONTROL, name="signals")
+        work()
+        scope.cancel()
+
+
+def run_node(path: str) -> None:
+    """Run one stand-in node until it is killed."""
+    spec = msgspec.json.decode(Path(path).read_bytes(), type=NodeSpec)
+    loop = Loop(RealWorld())
+    with contextlib.suppress(KeyboardInterrupt):
+        loop.run(Node(loop, spec).run)
--- a/orchidlane/config/syntax.py
+++ b/orchidlane/config/syntax.py
@@ -180,7 +180,7 @@
 Items = list[Any]
 
 
-class _Build(Transformer):  # type: ignore[type-arg]
+class _Build(Transformer):
     """Lark's tree into ours."""
 
     def __init__(self, file: str) -> None:
--- /dev/null
+++ b/orchidlane/gateway/__init__.py
@@ -0,0 +1,1 @@
+"""The running gateway: fronts, the host of the module, upstream connections, peers, the node list."""
--- /dev/null
+++ b/orchidlane/gateway/answers.py
@@ -0,0 +1,36 @@
+"""Final answers of our own, as ``application/problem+json`` (RFC 9457)."""
+
+from __future__ import annotations
+
+import json
+from http import HTTPStatus
+
+from .. import interface as api
+from .exchange import Answer
+
+TYPE = (b"content-type", b"application/problem+json")
+HARMLESS = "Not served; nothing was done, so trying again is harmless."
+UNKNOWN = "Not served; whether it had an effect is not known."
+
+
+def problem(status: int, detail: str, headers: tuple[tuple[bytes, bytes], ...] = ()) -> Answer:
+    """An answer that says what is wrong with the request."""
+    title = HTTPStatus(status).phrase
+    body = json.dumps({"type": "about:blank", "title": title, "status": status, "detail": detail}).encode()
+    return Answer(status, [TYPE, *headers], body, kind="refused")
+
+
+def refused(action: api.Refuse) -> Answer:
+    """Not served, and a repeat is harmless: 429 beyond a quota, else 503 (RFC 6585, RFC 9110)."""
+    wait = max(1, -(-action.retry_after // 1_000_000))
+    headers = ((b"retry-after", b"%d" % wait),)
+    if action.beyond_quota:
+        return problem(429, "Beyond the quota of the plan. " + HARMLESS, headers)
+    return problem(503, "No capacity for this request in its time. " + HARMLESS, headers)
+
+
+def failed() -> Answer:
+    """Not served, nothing promised."""
+    answer = problem(502, UNKNOWN)
+    answer.kind = "failed"
+    return answer
--- /dev/null
+++ b/orchidlane/gateway/customers.py
@@ -0,0 +1,102 @@
+"""Who a key belongs to: an immutable generation, looked up by the key's digest."""
+
+from __future__ import annotations
+
+import hashlib
+from dataclasses import dataclass
+
+import msgspec
+
+from .settings import Fleet
+
+NUMBER_MOST = 1 << 33  # customers' numbers lie below it
+
+
+class CustomerEntry(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """One line of the customers' file; ``keys`` are SHA-256 digests in hexadecimal."""
+
+    id: int
+    plan: str
+    keys: tuple[str, ...]
+    name: str = ""
+    first: int = -1
+
+
+class CustomersFile(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """The whole file."""
+
+    customers: tuple[CustomerEntry, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class Customer:
+    """A customer as requests name it: its number, plan, and the gateways that it uses."""
+
+    number: int
+    plan: int
+    plan_name: str
+    set_first: int
+    set_size: int
+
+
+class CustomersError(Exception):
+    """The customers' file can't be used; says where and why."""
+
+
+class Customers:
+    """Customers by the digest of their keys."""
+
+    def __init__(self, by_digest: dict[bytes, Customer]) -> None:
+        self._by_digest = by_digest
+
+    def __len__(self) -> int:
+        return len(self._by_digest)
+
+    def of_key(self, key: bytes) -> Customer | None:
+        """The customer of a key as it came with a request."""
+        return self._by_digest.get(hashlib.sha256(key).digest())
+
+
+def load_customers(text: bytes, file: str, fleet: Fleet) -> Customers:
+    """The customers of a file. Raises CustomersError."""
+    try:
+        entries = msgspec.json.decode(text, type=CustomersFile).customers
+    except (msgspec.DecodeError, UnicodeDecodeError) as wrong:
+        raise CustomersError(f"{file}: {wrong}") from None
+    if len(entries) > fleet.bounds.customers:
+        raise CustomersError(f"{file}: {len(entries)} customers, allowed: {fleet.bounds.customers}")
+    found: dict[bytes, Customer] = {}
+    numbers: set[int] = set()
+    plans = list(fleet.plans)
+    for index, entry in enumerate(entries):
+        place = f"{file}: customers[{index}]"
+        if not 0 <= entry.id < NUMBER_MOST or entry.id in numbers:
+            raise CustomersError(f"{place}.id: found {entry.id}, allowed: once, 0 to {NUMBER_MOST - 1}")
+        if entry.plan not in plans:
+            raise CustomersError(f"{place}.plan: found {entry.plan!r}, allowed: {', '.join(plans)}")
+        numbers.add(entry.id)
+        customer = make_customer(entry, fleet, plans)
+        for key in entry.keys:
+            digest = _digest(key, place)
+            if digest in found:
+                raise CustomersError(f"{place}.keys: a key that another customer has")
+            found[digest] = customer
+    return Customers(found)
+
+
+def make_customer(entry: CustomerEntry, fleet: Fleet, plans: list[str]) -> Customer:
+    """A customer with its set of gateways: so many as its plan says, from one that its number gives."""
+    count = len(fleet.gateways)
+    size = min(fleet.plans[entry.plan].spread or count, count)
+    first = entry.first if 0 <= entry.first < count else (entry.id * 2_654_435_761 >> 12) % count
+    return Customer(entry.id, plans.index(entry.plan), entry.plan, first, size)
+
+
+def _digest(text: str, place: str) -> bytes:
+    try:
+        digest = bytes.fromhex(text)
+    except ValueError:
+        digest = b""
+    if len(digest) != hashlib.sha256().digest_size:
+        raise CustomersError(f"{place}.keys: not the 64 hexadecimal digits of a SHA-256 digest")
+    return digest
--- /dev/null
+++ b/orchidlane/gateway/host.py
@@ -0,0 +1,156 @@
+"""Hosts the decision module: tells it what happens and carries out what it decides. Decides nothing."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import TYPE_CHECKING
+
+from .. import interface as api
+from ..loop import Loop
+from ..rules import Gateway
+from .answers import failed, refused
+from .exchange import Answer, Exchange
+from .metrics import Metrics
+
+if TYPE_CHECKING:
+    from .upstream import AttemptRun
+
+
+class Host:
+    """One decision module and the exchanges that it knows.
+
+    ``begin`` starts an attempt, ``tell`` sends bytes to a peer, ``ask_list`` follows the node list. They must
+    not feed events within the call: an action is carried out before the next event is told.
+    """
+
+    def __init__(
+        self,
+        loop: Loop,
+        settings: api.Settings,
+        metrics: Metrics,
+        begin: Callable[[Exchange, int, api.Send], None],
+        tell: Callable[[int, bytes], None],
+    ) -> None:
+        self.loop = loop
+        self.settings = settings
+        self.metrics = metrics
+        self.begin = begin
+        self.tell = tell
+        self.exchanges: dict[int, Exchange] = {}
+        self.runs: dict[tuple[int, int], AttemptRun] = {}  # attempts that are out
+        self.rules = Gateway(settings, loop.world.random.getrandbits(64), loop.now())
+        self._numbers = 0
+        self._feeding = False
+
+    def start(self) -> None:
+        """The module's first actions."""
+        self._carry_out(self.rules.start())
+
+    def feed(self, event: api.Event) -> None:
+        """Tell the module one event and carry out its answer."""
+        assert not self._feeding, "an action fed an event"
+        self._feeding = True
+        try:
+            self._carry_out(self.rules.handle(self.loop.now(), event))
+        finally:
+            self._feeding = False
+
+    def next_number(self) -> int:
+        """A request id that was not used in this life."""
+        self._numbers += 1
+        return self._numbers
+
+    # -- a request's events
+
+    def arrived(self, exchange: Exchange, time_left: int) -> None:
+        """A request was read as far as its head."""
+        customer, operation = exchange.customer, exchange.match.operation
+        self.exchanges[exchange.number] = exchange
+        self.feed(
+            api.RequestArrived(
+                request=exchange.number,
+                customer=customer.number,
+                plan=customer.plan,
+                kind=operation.kind,
+                units=operation.cost,
+                time_left=time_left,
+                set_first=customer.set_first,
+                set_size=customer.set_size,
+                is_repeat=False,
+            )
+        )
+
+    def ended(
+        self,
+        exchange: Exchange,
+        attempt: int,
+        server: bytes,
+        outcome: api.Outcome,
+        took: int,
+        report: tuple[float, ...] = (),
+        answer: Answer | None = None,
+    ) -> None:
+        """An attempt has its outcome; a served one brings the answer, which ends the request."""
+        self.runs.pop((exchange.number, attempt), None)
+        self.metrics.outcome(outcome)
+        if answer is not None:
+            self._finish(exchange, answer)
+        answered = exchange.answer is not None or exchange.gone
+        self.feed(api.AttemptEnded(exchange.number, attempt, server, outcome, took, answered, 0, 0.0, report))
+
+    def client_gone(self, exchange: Exchange) -> None:
+        """The client left before its answer."""
+        if exchange.answer is None and not exchange.gone:
+            exchange.gone = True
+            self.exchanges.pop(exchange.number, None)
+            self.feed(api.ClientGone(exchange.number))
+
+    def _finish(self, exchange: Exchange, answer: Answer) -> None:
+        """The one place where a request gets its final answer."""
+        if exchange.answer is None and not exchange.gone:
+            exchange.answer = answer
+            self.exchanges.pop(exchange.number, None)
+            self.loop.wake(exchange.task)
+
+    # -- actions
+
+    def _carry_out(self, actions: list[api.Action]) -> None:
+        for action in actions:
+            match action:
+                case api.Send():
+                    self._send(action)
+                case api.SetTimer():
+                    self.loop.call_at(self.loop.now() + action.span, self._fired, action.token)
+                case api.TellPeer():
+                    self.tell(action.peer, action.body)
+                case api.Refuse():
+                    self._answer(action.request, refused(action))
+                case api.Fail():
+                    self._answer(action.request, failed())
+                case api.Cancel():
+                    self._cancel(action)
+                case api.AskList() | api.FetchList():
+                    pass  # the list is watched from the start
+                case api.Probe():
+                    raise AssertionError("the module was told that it may not probe")
+
+    def _send(self, action: api.Send) -> None:
+        exchange = self.exchanges[action.request]
+        number = exchange.sends
+        exchange.sends += 1
+        self.begin(exchange, number, action)
+        self.loop.wake(exchange.task)  # a client that waits for 100 Continue may go on
+
+    def _fired(self, token: int) -> None:
+        self.feed(api.TimerFired(token))
+
+    def _answer(self, request: int, answer: Answer) -> None:
+        exchange = self.exchanges.get(request)
+        if exchange is not None:
+            self._finish(exchange, answer)
+
+    def _cancel(self, action: api.Cancel) -> None:
+        """The request has ended, and its exchange with it, but its attempts are still known by their runs."""
+        run = self.runs.get((action.request, action.attempt))
+        if run is not None:
+            run.cancel()
--- /dev/null
+++ b/orchidlane/gateway/program.py
@@ -0,0 +1,211 @@
+"""The life of one gateway: what it knows, its parts, its start, reload and end."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import Any
+
+import structlog
+
+from .. import http1
+from .. import interface as api
+from ..http1 import Malformed, Request
+from ..loop import BACKGROUND, CONTROL, PEERS, Closed, Expired, Loop, Scope, Stream
+from ..loop.world import Datagrams, World
+from ..routes import DescriptionError, Generation, build, load_description
+from .customers import Customers, load_customers
+from .datagram import SIZE_MOST, Inbox, seal
+from .exchange import Answer, Exchange
+from .front import Front
+from .host import Host
+from .metrics import Metrics
+from .nodelist import ListTracker
+from .settings import Fleet, address, module_settings
+from .upstream import Upstream
+from .watch import Watch
+
+DRAIN_LOOK = 10_000  # microseconds between two looks whether all is answered
+ADMIN_PATIENCE = 5_000_000  # microseconds
+
+
+@dataclass
+class Knowledge:
+    """What requests are understood by: replaced as a whole, never changed in place."""
+
+    generation: Generation
+    customers: Customers
+    log: Any
+    log_requests: bool
+
+    def log_answer(self, exchange: Exchange, answer: Answer, span: int) -> None:
+        """One line for a request, if the settings ask for it; never a key, target or body."""
+        if self.log_requests:
+            operation = exchange.match.operation
+            self.log.info(
+                "answered",
+                request=exchange.number,
+                customer=exchange.customer.number,
+                operation=operation.name,
+                kind=answer.kind,
+                status=answer.status,
+                attempts=exchange.sends,
+                ms=span / 1_000,
+            )
+
+
+def read_knowledge(world: World, fleet: Fleet, number: int, log: Any) -> Knowledge:
+    """Description and customers as the files say now. Raises DescriptionError, CustomersError, OSError."""
+    text = _read(world, fleet.description)
+    generation = build(load_description(text, fleet.description), fleet.description, number)
+    customers = load_customers(_read(world, fleet.customers), fleet.customers, fleet)
+    return Knowledge(generation, customers, log, fleet.log_requests)
+
+
+def _read(world: World, path: str) -> bytes:
+    data = world.read_file(path)
+    if data is None:
+        raise FileNotFoundError(f"{path}: no such file")
+    return data
+
+
+class Program:
+    """One gateway. ``run`` is its main task; ``stop`` and ``reload`` may be called from signals' tasks."""
+
+    def __init__(
+        self, loop: Loop, fleet: Fleet, rank: int, secret: bytes, knowledge: Knowledge | None = None
+    ) -> None:
+        self.loop = loop
+        self.fleet = fleet
+        self.rank = rank
+        self.entry = fleet.gateways[rank]
+        self.secret = secret
+        self.log = structlog.get_logger().bind(gateway=self.entry.name)
+        self.knowledge = knowledge or read_knowledge(loop.world, fleet, 1, self.log)
+        self.metrics = Metrics()
+        self.stopping = False
+        self.ready = False
+        self.incarnation = loop.now()
+        self.sequence = 0
+        self.peers = [address(entry.peer) for entry in fleet.gateways]
+        self.datagrams: Datagrams
+        self.front: Front
+        self.host: Host
+        self.inbox: Inbox
+        self.tracker = ListTracker(self.entry.zone, fleet.bounds.nodes)
+
+    def run(self) -> None:
+        """From start to the end of a drain."""
+        world = self.loop.world
+        listener = world.listen(address(self.entry.listen))
+        self.datagrams = world.datagrams(address(self.entry.peer))
+        with Scope(self.loop) as scope:
+            self._build(scope)
+            self.host.start()
+            self.watch.restore()
+            scope.spawn(self.watch.work, kind=CONTROL, name="node list")
+            scope.spawn(self.watch.keep, kind=BACKGROUND, name="node list's cache")
+            scope.spawn(self._hear, kind=PEERS, name="peers")
+            if self.entry.admin:
+                self._listen_admin(scope)
+            self.front.listen(listener)
+            self.ready = True
+            self.log.info("started", listen=self.entry.listen, rank=self.rank)
+            self._until_drained()
+            scope.cancel()
+        self.datagrams.close()
+        self.log.info("ended")
+
+    def _build(self, scope: Scope) -> None:
+        settings = module_settings(self.fleet, self.rank, self.knowledge.generation)
+        self.inbox = Inbox(self.secret, self.rank, len(self.peers), self.fleet.peers.intake, self.loop.now())
+        upstream = Upstream(self.loop, self.fleet, self.entry.name, scope, self.tracker)
+        self.host = upstream.host = Host(self.loop, settings, self.metrics, upstream.begin, self._tell)
+        self.front = Front(self.loop, self.fleet, self.host, self.knowledge, scope)
+        cache = f"{self.fleet.state}/{self.entry.name}.nodes.json" if self.fleet.state else ""
+        self.watch = Watch(self.loop, self.fleet, self.tracker, self.entry.name, cache, self._listed)
+
+    def _until_drained(self) -> None:
+        """Wait for ``stop``, then until all is answered or the time for it is over."""
+        while not self.stopping:
+            self.loop.sleep(5 * DRAIN_LOOK)
+        self.front.drain()
+        by = self.loop.now() + self.fleet.times.drain
+        while self.front.connections and self.loop.now() < by:
+            self.loop.sleep(DRAIN_LOOK)
+
+    def stop(self) -> None:
+        """Begin to drain."""
+        self.stopping = True
+
+    def reload(self) -> None:
+        """Read description and customers anew; what can't be used changes nothing."""
+        try:
+            fresh = read_knowledge(
+                self.loop.world, self.fleet, self.knowledge.generation.number + 1, self.log
+            )
+            if fresh.generation.classes != self.knowledge.generation.classes:
+                raise DescriptionError(
+                    self.fleet.description, [("x-orchidlane", "other classes need a restart of the gateway")]
+                )
+        except Exception as wrong:
+            self.log.error("reload refused", why=str(wrong))
+            return
+        self.knowledge = self.front.knowledge = fresh
+        self.log.info("reloaded", generation=fresh.generation.number)
+
+    # -- node list and peers
+
+    def _listed(self, listed: api.ServerListed) -> None:
+        self.metrics.nodes.set(len(self.tracker.nodes))
+        self.host.feed(listed)
+
+    def _tell(self, rank: int, body: bytes) -> None:
+        self.sequence += 1
+        self.metrics.told.inc()
+        sealed = seal(self.secret, self.rank, rank, self.incarnation, self.sequence, body)
+        self.datagrams.send(sealed, self.peers[rank])
+
+    def _hear(self) -> None:
+        while True:
+            data, _ = self.datagrams.recv()
+            taken = self.inbox.take(self.loop.now(), data[: SIZE_MOST + 1])
+            if taken is not None:
+                self.metrics.heard.inc()
+                self.host.feed(api.PeerMessage(*taken))
+
+    # -- health and metrics
+
+    def _listen_admin(self, scope: Scope) -> None:
+        listener = self.loop.world.listen(address(self.entry.admin))
+
+        def accept() -> None:
+            while True:
+                scope.spawn(self._admin, listener.accept(), kind=BACKGROUND, name="admin")
+
+        scope.spawn(accept, kind=BACKGROUND, name="admin")
+
+    def _admin(self, stream: Stream) -> None:
+        parser, by = http1.RequestParser(), self.loop.now() + ADMIN_PATIENCE
+        try:
+            while (event := parser.next_event()) is None:
+                parser.receive(stream.recv(deadline=by))
+                if parser.ended:
+                    return
+            assert isinstance(event, Request)
+            status, body = self._admin_answer(event.target)
+            kind = (b"content-type", b"text/plain; charset=utf-8")
+            length = (b"content-length", b"%d" % len(body))
+            head = http1.response_head(status, [kind, length, (b"connection", b"close")])
+            stream.send(head + body, by)
+        except (Closed, Expired, Malformed):
+            pass
+        finally:
+            stream.close()
+
+    def _admin_answer(self, target: bytes) -> tuple[int, bytes]:
+        if target == b"/metrics":
+            return 200, self.metrics.page()
+        if target == b"/health":
+            fine = self.ready and not self.stopping
+            return (200, b"ready\n") if fine else (503, b"draining\n")
+        return 404, b"try /metrics or /health\n"
--- /dev/null
+++ b/orchidlane/gateway/schema.cue
@@ -0,0 +1,95 @@
+// What a fleet's settings may be. A file of settings is unified with #Fleet.
+
+#Duration: =~"^[0-9]+(\\.[0-9]+)?(us|ms|s|m|h)$"
+#Size:     =~"^[0-9]+(B|KiB|MiB|GiB)$"
+#Address:  =~"^127\\.[0-9]+\\.[0-9]+\\.[0-9]+:[0-9]+$|^[A-Za-z0-9.-]+:[0-9]+$"
+#Share:    number & >0 & <=1
+
+// One gateway of the fleet; its rank is its place in the list.
+#Gateway: {
+	name:   =~"^[A-Za-z0-9-]+$"
+	listen: #Address // requests, HTTP/1.1
+	peer:   #Address // datagrams of the other gateways
+	admin:  *"" | #Address // health and metrics; none where empty
+	zone:   *"zone-1" | string
+}
+
+// A ceiling: units a second, units at once, and how far it may be passed.
+#Ceiling: {
+	rate:  number & >0
+	burst: number & >0
+	slack: *0 | number & >=0
+}
+
+// Quotas of each customer on the plan, over all gateways together. Zero rate or open: no such quota.
+#Plan: {
+	rate:         number & >=0 // units a second
+	burst:        number & >=0 // units at once
+	open:         *0 | int & >=0 // attempts out at once
+	price:        *1 | number & >0
+	beyond_earns: *0 | number & >=0
+	beyond_costs: *1 | number & >=0
+	ceiling?:     #Ceiling
+	spread:       *0 | int & >=0 // gateways that a customer uses; 0: all
+}
+
+// How the nodes start, drain and fall over; the figures of rules 3 and 4.
+#Nodes: {
+	list:          #Address // the node list's watch
+	drain_grace:   *"500ms" | #Duration
+	cold_from:     *0.25 | #Share
+	warm_within:   *"15s" | #Duration
+	fall_multiple: *2 | number & >1
+	overload_for:  *"2s" | #Duration
+	full_header:   *"node-full" | string // on a 503: the node turned the request away unseen
+	report_header: *"node-report" | string
+	reports:       *[] | [...string]
+}
+
+#Peers: {
+	secret_file: string // at least 16 bytes; the same for the whole fleet
+	intake:      *100 | number & >0 // datagrams a second
+}
+
+// Bounds. What happens at each is in docs/gateway.md.
+#Bounds: {
+	connections:       *10000 | int & >=1 // of clients
+	open:              *2000 | int & >=1 // requests under way
+	node_connections:  *128 | int & >=1 // to one node
+	request_line:      *"8KiB" | #Size
+	request_head:      *"32KiB" | #Size
+	request_headers:   *100 | int & >=1
+	request_body:      *"64MiB" | #Size
+	held_body:         *"256KiB" | #Size // kept for a further attempt
+	held_answer:       *"256KiB" | #Size // kept until the answer is complete
+	pipelined:         *"64KiB" | #Size // bytes of later requests
+	nodes:             *10000 | int & >=1
+	customers:         *1000000 | int & >=1
+}
+
+#Times: {
+	head:         *"10s" | #Duration // a request's head, from its first byte
+	body:         *"10s" | #Duration // between two parts of a body
+	idle:         *"60s" | #Duration // a connection without a request
+	write:        *"10s" | #Duration // a client that does not read
+	connect:      *"250ms" | #Duration // to a node
+	node_idle:    *"4s" | #Duration // a pooled connection; less than the nodes' own
+	unsafe_idle:  *"200ms" | #Duration // the same for a request that may not run twice
+	client_margin: *"60ms" | #Duration // of the client's time kept for the way back
+	drain:        *"10s" | #Duration // requests under way after SIGTERM
+	linger:       *"1s" | #Duration // reading on after a refusal within a body
+}
+
+#Fleet: {
+	description:  string // an OpenAPI file
+	customers:    string // a JSON file
+	state:        *"" | string // folder for the cached node list; none where empty
+	gateways:     [...#Gateway]
+	plans:        [string]: #Plan
+	nodes:        #Nodes
+	peers:        #Peers
+	bounds:       #Bounds
+	times:        #Times
+	max_attempts: *3 | int & >=1 & <=16
+	log_requests: *false | bool
+}
--- /dev/null
+++ b/orchidlane/gateway/settings.py
@@ -0,0 +1,208 @@
+"""A fleet's settings as records, and what the decision module is told of them."""
+
+from __future__ import annotations
+
+import os
+from functools import cache
+from pathlib import Path
+
+import msgspec
+
+from .. import config
+from .. import interface as api
+from ..config import Duration, Size
+from ..loop import Address
+from ..routes import Generation
+
+SCHEMA = Path(__file__).with_name("schema.cue")
+SECRET_LEAST = 16  # bytes
+
+
+class Ceiling(msgspec.Struct, frozen=True):
+    """See ``#Ceiling``."""
+
+    rate: float
+    burst: float
+    slack: float
+
+
+class Plan(msgspec.Struct, frozen=True):
+    """See ``#Plan``."""
+
+    rate: float
+    burst: float
+    open: int
+    price: float
+    beyond_earns: float
+    beyond_costs: float
+    spread: int
+    ceiling: Ceiling | None = None
+
+
+class GatewayEntry(msgspec.Struct, frozen=True):
+    """See ``#Gateway``."""
+
+    name: str
+    listen: str
+    peer: str
+    admin: str
+    zone: str
+
+
+class Nodes(msgspec.Struct, frozen=True):
+    """See ``#Nodes``; spans in microseconds."""
+
+    list: str
+    drain_grace: Duration
+    cold_from: float
+    warm_within: Duration
+    fall_multiple: float
+    overload_for: Duration
+    full_header: str
+    report_header: str
+    reports: tuple[str, ...]
+
+
+class Peers(msgspec.Struct, frozen=True):
+    """See ``#Peers``."""
+
+    secret_file: str
+    intake: float
+
+
+class Bounds(msgspec.Struct, frozen=True):
+    """See ``#Bounds``; sizes in bytes."""
+
+    connections: int
+    open: int
+    node_connections: int
+    request_line: Size
+    request_head: Size
+    request_headers: int
+    request_body: Size
+    held_body: Size
+    held_answer: Size
+    pipelined: Size
+    nodes: int
+    customers: int
+
+
+class Times(msgspec.Struct, frozen=True):
+    """See ``#Times``; spans in microseconds."""
+
+    head: Duration
+    body: Duration
+    idle: Duration
+    write: Duration
+    connect: Duration
+    node_idle: Duration
+    unsafe_idle: Duration
+    client_margin: Duration
+    drain: Duration
+    linger: Duration
+
+
+class Fleet(msgspec.Struct, frozen=True):
+    """See ``#Fleet``."""
+
+    description: str
+    customers: str
+    state: str
+    gateways: tuple[GatewayEntry, ...]
+    plans: dict[str, Plan]
+    nodes: Nodes
+    peers: Peers
+    bounds: Bounds
+    times: Times
+    max_attempts: int
+    log_requests: bool
+
+
+@cache
+def schema() -> str:
+    """The text of the schema."""
+    return SCHEMA.read_text()
+
+
+def load_fleet(path: str) -> Fleet:
+    """The settings of a file, its relative paths taken from its folder. Raises ConfigError, OSError."""
+    fleet = parse_fleet(Path(path).read_text(), path)
+    base = Path(path).parent
+    peers = msgspec.structs.replace(fleet.peers, secret_file=str(base / fleet.peers.secret_file))
+    return msgspec.structs.replace(
+        fleet,
+        description=str(base / fleet.description),
+        customers=str(base / fleet.customers),
+        state=str(base / fleet.state) if fleet.state else "",
+        peers=peers,
+    )
+
+
+def parse_fleet(text: str, file: str) -> Fleet:
+    """The settings of a text. Raises ConfigError."""
+    return config.load(text, file, schema(), "#Fleet", Fleet)
+
+
+def address(text: str) -> Address:
+    """Host and port of ``host:port``."""
+    host, _, port = text.rpartition(":")
+    return host, int(port)
+
+
+def read_secret(path: str) -> bytes:
+    """The fleet's key for datagrams. Raises ValueError where it is too short or others may read it."""
+    with open(path, "rb") as file:
+        if os.fstat(file.fileno()).st_mode & 0o007:
+            raise ValueError(f"{path}: others may read this secret; take their rights off it")
+        secret = file.read(4096).strip()
+    if len(secret) < SECRET_LEAST:
+        raise ValueError(f"{path}: a secret has at least {SECRET_LEAST} bytes")
+    return secret
+
+
+def module_settings(fleet: Fleet, rank: int, generation: Generation) -> api.Settings:
+    """What the decision module of one gateway is told when it starts."""
+    nodes = fleet.nodes
+    return api.Settings(
+        rank=rank,
+        gateways=len(fleet.gateways),
+        zone=0,
+        classes=generation.classes,
+        plans=tuple(_module_plan(plan) for plan in fleet.plans.values()),
+        may_tell_peers=len(fleet.gateways) > 1,
+        may_probe=False,
+        may_cancel=True,
+        may_copy=False,
+        max_attempts=fleet.max_attempts,
+        max_retry_after=1_000_000,
+        peer_intake=fleet.peers.intake,
+        peer_charge=0.0,
+        probe_charge=0.0,
+        waste_charge=0.0,
+        cross_zone_charge=0.0,
+        has_counter=False,
+        asks_for_list=True,
+        ask_within=10_000_000,
+        reports=api.Reports.INLINE if nodes.reports else api.Reports.NONE,
+        report_names=nodes.reports,
+        cold_from=nodes.cold_from,
+        warm_within=nodes.warm_within,
+        fall_multiple=nodes.fall_multiple,
+        overload_for=nodes.overload_for,
+        drain_grace=nodes.drain_grace,
+    )
+
+
+def _module_plan(plan: Plan) -> api.Plan:
+    ceiling = plan.ceiling or Ceiling(0.0, 0.0, 0.0)
+    return api.Plan(
+        rate=plan.rate,
+        burst=plan.burst,
+        open=plan.open,
+        price=plan.price,
+        beyond_earns=plan.beyond_earns,
+        beyond_costs=plan.beyond_costs,
+        ceiling_rate=ceiling.rate,
+        ceiling_burst=ceiling.burst,
+        ceiling_slack=ceiling.slack,
+    )
--- /dev/null
+++ b/orchidlane/gateway/watch.py
@@ -0,0 +1,112 @@
+"""Follows the node list: one long answer over HTTP, a JSON line for each piece of news."""
+
+from __future__ import annotations
+
+import hashlib
+from collections.abc import Callable
+
+from .. import http1
+from .. import interface as api
+from ..http1 import Data, End, Malformed, Response
+from ..loop import Closed, Loop, LoopError, NotConnected, Stream
+from .nodelist import LINE_MOST, ListRefused, ListTracker
+from .settings import Fleet, address
+
+CONNECT = 2_000_000  # microseconds
+SILENCE = 15_000_000  # the list sends an empty line at least every few seconds; then it is asked anew
+AGAIN_FIRST, AGAIN_MOST = 100_000, 5_000_000  # microseconds between two tries, doubled each time
+
+
+class Watch:
+    """The task that reads the list; ``told`` is called with what it tells the module."""
+
+    def __init__(
+        self,
+        loop: Loop,
+        fleet: Fleet,
+        tracker: ListTracker,
+        name: str,
+        cache: str,
+        told: Callable[[api.ServerListed], None],
+    ) -> None:
+        self.loop = loop
+        self.fleet = fleet
+        self.tracker = tracker
+        self.name = name
+        self.cache = cache
+        self.told = told
+        self.failures = 0
+        self._kept = b""
+
+    def restore(self) -> None:
+        """Begin with the list as it was kept."""
+        text = self.loop.world.read_file(self.cache) if self.cache else None
+        if text is not None and (listed := self.tracker.restore(text)) is not None:
+            self._kept = hashlib.sha256(text).digest()
+            self.told(listed)
+
+    def work(self) -> None:
+        """Follow the list for ever; failures are waited out, the list as it is known stays."""
+        span = AGAIN_FIRST
+        while True:
+            began = self.loop.now()
+            try:
+                self._follow()
+            except (LoopError, Malformed, ListRefused):
+                self.failures += 1
+                self.told(api.ServerListed(api.ListKind.FAILED, 0, ()))
+            span = AGAIN_FIRST if self.loop.now() - began > AGAIN_MOST else min(AGAIN_MOST, 2 * span)
+            self.loop.sleep(int(span * (0.5 + self.loop.world.random.random())))
+
+    def _follow(self) -> None:
+        where = self.fleet.nodes.list
+        stream = self.loop.world.connect(address(where), self.loop.now() + CONNECT)
+        try:
+            query = f"/v1/nodes?epoch={self.tracker.epoch}&after={self.tracker.version}"
+            stream.send(
+                http1.request_head(
+                    "GET",
+                    query.encode(),
+                    [(b"host", where.encode()), (b"user-agent", b"orchidlane " + self.name.encode())],
+                )
+            )
+            self._read(stream)
+        finally:
+            stream.close()
+
+    def _read(self, stream: Stream) -> None:
+        parser, rest = http1.ResponseParser(), b""
+        while True:
+            event = parser.next_event()
+            if event is None:
+                parser.receive(stream.recv(deadline=self.loop.now() + SILENCE))
+                if parser.ended and parser.next_event() is None:
+                    raise Closed("the node list ended")
+            elif isinstance(event, Response):
+                if event.status != 200:
+                    raise NotConnected(f"the node list answers {event.status}")
+            elif isinstance(event, Data):
+                rest = self._lines(rest + event.data)
+            elif isinstance(event, End):
+                raise Closed("the node list ended")
+
+    def _lines(self, text: bytes) -> bytes:
+        """Take all whole lines; what is left of the last one."""
+        *lines, rest = text.split(b"\n")
+        if len(rest) > LINE_MOST:
+            raise ListRefused("a line is too long")
+        for line in lines:
+            if line.strip() and (listed := self.tracker.take(line)) is not None:
+                self.told(listed)
+        return rest
+
+    def keep(self) -> None:
+        """Write the list down for a restart, if it changed; as background work."""
+        while True:
+            self.loop.sleep(1_000_000)
+            if self.cache and self.tracker.nodes:
+                text = self.tracker.cached()
+                digest = hashlib.sha256(text).digest()
+                if digest != self._kept:
+                    self._kept = digest
+                    self.loop.world.write_file(self.cache, text)
--- a/orchidlane/http1/parser.py
+++ b/orchidlane/http1/parser.py
@@ -92,7 +92,7 @@
         assert self.state is State.DONE, self.state
         self.state = State.IDLE
         self._searched = self._body = self._trailer_bytes = self._empty_lines = 0
-        self._trailers = []
+        self._trailers, self._owes_end = [], False
 
     # -- heads
 
@@ -166,7 +166,8 @@
                 raise Malformed(400, "both Content-Length and Transfer-Encoding")
             if minor == 0:
                 raise Malformed(400, "Transfer-Encoding in HTTP/1.0")
-            return self._chunked(codings)
+            self._check_chunked(codings)
+            return None
         if not lengths:
             return False
         if len(lengths) > 1 or not LENGTH_VALUE.fullmatch(lengths[0]):
@@ -176,10 +177,10 @@
             raise Malformed(413, "the body is too large")
         return length
 
-    def _chunked(self, codings: list[bytes]) -> None:
+    def _check_chunked(self, codings: list[bytes]) -> None:
         names = [part.strip(b" \t").lower() for value in codings for part in value.split(b",")]
         if names == [b"chunked"]:
-            return None
+            return
         if b"chunked" in names[:-1] or names[-1] != b"chunked":
             raise Malformed(400, "chunked is not the final transfer coding")
         raise Malformed(501, "a transfer coding other than chunked")
--- a/orchidlane/interface.py
+++ b/orchidlane/interface.py
@@ -280,10 +280,11 @@
 
 @dataclass(frozen=True, slots=True)
 class Refuse:
-    """Final answer: not served, and trying again is harmless."""
+    """Final answer: not served, and trying again is harmless; beyond_quota tells why."""
 
     request: int
     retry_after: int
+    beyond_quota: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/orchidlane/lab/audit.py
@@ -0,0 +1,188 @@
+"""The five rules over what passed on the sockets, as clients, nodes and the node list saw it.
+
+Nothing here is a gateway's own word. A gateway that was killed or stood still owes nothing for what it held
+then: such tries are set aside, and counted.
+"""
+
+from __future__ import annotations
+
+from bisect import bisect_right
+from collections import Counter, defaultdict
+from dataclasses import dataclass
+from typing import Any
+
+from .. import interface as api
+from .records import Arrival, Away, Fell, Record, Run, Told, Try
+
+
+@dataclass(frozen=True, slots=True)
+class Terms:
+    """What the rules' figures are; spans in microseconds."""
+
+    effects: dict[str, api.RequestClass]  # by class name
+    drain_grace: int
+    answer_slack: int  # a final answer so late still counts: the way back
+    arrival_slack: int  # between a gateway's decision and a node's reading
+    ceilings: dict[int, tuple[float, float, float]]  # customer -> rate, burst, slack
+
+
+@dataclass
+class Verdict:
+    """What the audit found."""
+
+    requests: int
+    tries: int
+    answers: dict[str, int]
+    missing: list[str]
+    doubled: list[str]
+    late: list[str]
+    set_aside: int
+    effects_twice: list[str]
+    refused_but_ran: list[str]
+    sent_after_drain: list[str]
+    fell_over: list[str]
+    ceiling_worst: float  # overshoot over the allowed slack: 1 is at the rule
+    runs: int
+
+    @property
+    def rules(self) -> dict[str, bool]:
+        """Which of the five held."""
+        return {
+            "1": not (self.missing or self.doubled or self.late),
+            "2": not (self.effects_twice or self.refused_but_ran),
+            "3": not self.sent_after_drain,
+            "4": not self.fell_over,
+            "5": self.ceiling_worst <= 1,
+        }
+
+    def as_json(self) -> dict[str, Any]:
+        """Counts, with the first few names of what went wrong."""
+        lists = ("missing", "doubled", "late", "effects_twice", "refused_but_ran", "sent_after_drain")
+        found: dict[str, Any] = {"requests": self.requests, "tries": self.tries, "answers": self.answers}
+        found |= {name: len(getattr(self, name)) for name in lists}
+        found |= {"fell_over": len(self.fell_over), "set_aside": self.set_aside, "runs": self.runs}
+        found |= {"ceiling_worst": round(self.ceiling_worst, 3), "rules": self.rules}
+        found["which"] = {name: getattr(self, name)[:5] for name in lists if getattr(self, name)}
+        return found
+
+
+def audit(records: list[Record], terms: Terms) -> Verdict:
+    """The verdict over one day."""
+    tries = [r for r in records if isinstance(r, Try)]
+    away: dict[str, list[Away]] = defaultdict(list)
+    for record in records:
+        if isinstance(record, Away):
+            away[record.gateway].append(record)
+    owed = [t for t in tries if _owed(t, away[t.gateway], terms.answer_slack)]
+    runs = sorted((r for r in records if isinstance(r, Run)), key=lambda run: run.at)
+    arrivals = sorted((r for r in records if isinstance(r, Arrival)), key=lambda arrival: arrival.at)
+    return Verdict(
+        requests=len({t.request for t in tries}),
+        tries=len(tries),
+        answers=dict(sorted(Counter(str(t.status) if t.status else t.end for t in tries).items())),
+        missing=[t.name for t in owed if t.end != "answer"],
+        doubled=[t.name for t in tries if t.extra],
+        late=[t.name for t in owed if t.end == "answer" and t.ended > t.by + terms.answer_slack],
+        set_aside=len(tries) - len(owed),
+        effects_twice=_effects_twice(runs, terms),
+        refused_but_ran=_refused_but_ran(tries, runs, terms),
+        sent_after_drain=_sent_after_drain(arrivals, records, away, terms),
+        fell_over=[r.node for r in records if isinstance(r, Fell)],
+        ceiling_worst=_ceiling_worst(arrivals, terms),
+        runs=len(runs),
+    )
+
+
+def _owed(one: Try, away: list[Away], slack: int) -> bool:
+    """Whether a gateway took the request, and ran all the time that it had for it."""
+    if one.end == "unreachable":
+        return False
+    return not any(gap.begin <= one.by + slack and gap.end + slack >= one.at for gap in away)
+
+
+def _effects_twice(runs: list[Run], terms: Terms) -> list[str]:
+    """Requests whose effect came about more than once, repeats dropped as the nodes of a cell drop them."""
+    done: dict[str, list[Run]] = defaultdict(list)
+    for run in runs:
+        cls = terms.effects[run.class_name]
+        if cls.effect is api.Effect.SAFE:
+            continue
+        if not any(_drops(earlier, run, cls) for earlier in done[run.request]):
+            done[run.request].append(run)
+    return [request for request, effects in done.items() if len(effects) > 1]
+
+
+def _drops(earlier: Run, run: Run, cls: api.RequestClass) -> bool:
+    if cls.effect is not api.Effect.KEYED or run.at - earlier.at > cls.window:
+        return False
+    return cls.group is api.Group.ALL or earlier.cell == run.cell
+
+
+def _refused_but_ran(tries: list[Try], runs: list[Run], terms: Terms) -> list[str]:
+    """Answers that call a repeat harmless after the effect may have come about."""
+    ran = {run.attempt_of for run in runs}
+    found = []
+    for one in tries:
+        cls = terms.effects[one.class_name]
+        harmless = cls.effect is api.Effect.SAFE or (
+            cls.effect is api.Effect.KEYED and cls.group is api.Group.ALL
+        )
+        if one.harmless and not harmless and one.name in ran:
+            found.append(one.name)
+    return found
+
+
+def _sent_after_drain(
+    arrivals: list[Arrival], records: list[Record], away: dict[str, list[Away]], terms: Terms
+) -> list[str]:
+    """Attempts that reached a node later than the grace after their gateway was told that it goes."""
+    told: dict[tuple[str, str], list[tuple[int, str]]] = defaultdict(list)
+    for record in records:
+        if isinstance(record, Told):
+            told[record.gateway, record.node].append((record.at, record.phase))
+    for news in told.values():
+        news.sort()
+    found = []
+    for arrival in arrivals:
+        gaps = away[arrival.gateway]
+        born = max((gap.end for gap in gaps if gap.anew and gap.begin <= arrival.at), default=0)
+        news = [
+            one
+            for one in told.get((arrival.gateway, arrival.node), [])
+            if one[0] >= born - terms.answer_slack
+        ]
+        place = bisect_right(news, (arrival.at, "~")) - 1
+        if place < 0 or news[place][1] == "ready":
+            continue
+        while place and news[place - 1][1] != "ready":
+            place -= 1  # gone after draining: the grace runs from the first word
+        at = _awake(news[place][0], gaps)
+        if arrival.at > at + terms.drain_grace + terms.arrival_slack:
+            found.append(arrival.attempt)
+    return found
+
+
+def _awake(at: int, gaps: list[Away]) -> int:
+    """When a gateway that stood still could hear."""
+    for gap in gaps:
+        if gap.begin <= at <= gap.end:
+            at = gap.end
+    return at
+
+
+def _ceiling_worst(arrivals: list[Arrival], terms: Terms) -> float:
+    """The deepest that any ceiling's store went below nothing, over its slack."""
+    stores: dict[int, tuple[float, int]] = {}
+    seen: set[str] = set()
+    worst = 0.0
+    for arrival in arrivals:
+        ceiling = terms.ceilings.get(arrival.customer)
+        if ceiling is None or arrival.attempt_of in seen:
+            continue
+        seen.add(arrival.attempt_of)
+        rate, burst, slack = ceiling
+        store, at = stores.get(arrival.customer, (burst, arrival.at))
+        store = min(burst, store + rate * (arrival.at - at) / 1_000_000) - arrival.units
+        stores[arrival.customer] = store, arrival.at
+        worst = max(worst, -store / slack)
+    return worst
--- /dev/null
+++ b/orchidlane/lab/clients.py
@@ -0,0 +1,191 @@
+"""Stand-ins for the subscribers: requests that come whether or not earlier ones were answered, and retries.
+
+A client tries again after an answer that says that this is harmless, and when it could not reach the gateway;
+a safe request also after any other failure. Each try may come through another gateway of the subscriber's
+set. A client gives up at its time, but listens a little longer, so that a late answer is seen.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from .. import http1
+from ..http1 import Data, End, Malformed, Response
+from ..loop import REQUESTS, Closed, Expired, Loop, NotConnected, Scope, Stream
+from ..loop.world import Address
+from .records import Record, Try
+
+LISTEN_ON = 400_000  # microseconds after giving up
+CONNECT = 300_000
+
+
+@dataclass(frozen=True, slots=True)
+class Subscriber:
+    """One customer with its key and its part of the traffic."""
+
+    number: int
+    key: str
+    weight: float
+    gateways: tuple[int, ...]  # ranks of its set, the busiest first
+
+
+@dataclass(frozen=True, slots=True)
+class Kind:
+    """One kind of request."""
+
+    class_name: str
+    share: float
+    method: str
+    target: str
+    deadline: int
+    safe: bool
+    body: int = 0
+
+
+@dataclass
+class Crowd:
+    """All subscribers together: ``rate`` requests a second for ``span`` microseconds."""
+
+    loop: Loop
+    gateways: list[tuple[str, Address]]
+    subscribers: list[Subscriber]
+    kinds: list[Kind]
+    rate: float
+    span: int
+    record: Callable[[Record], None]
+    tries: int = 3
+    sent: int = 0
+    idle: dict[int, list[tuple[Stream, http1.ResponseParser]]] = field(default_factory=dict)
+
+    def run(self) -> None:
+        """Send until the span is over, then wait for all answers."""
+        random, end = self.loop.world.random, self.loop.now() + self.span
+        weights = [subscriber.weight for subscriber in self.subscribers]
+        shares = [kind.share for kind in self.kinds]
+        due = float(self.loop.now())
+        with Scope(self.loop) as scope:
+            while due < end:
+                due += random.expovariate(self.rate) * 1_000_000
+                self.loop.sleep(int(due) - self.loop.now())
+                subscriber = random.choices(self.subscribers, weights)[0]
+                kind = random.choices(self.kinds, shares)[0]
+                self.sent += 1
+                scope.spawn(self._request, f"r{self.sent}", subscriber, kind, kind=REQUESTS)
+
+    def _request(self, name: str, subscriber: Subscriber, kind: Kind) -> None:
+        random = self.loop.world.random
+        patience = int(kind.deadline * random.uniform(0.5, 1.0))
+        end = self.loop.now() + kind.deadline
+        for number in range(self.tries):
+            done = self._try(name, f"{name}.{number}", subscriber, kind, patience)
+            if not self._again(done, kind) or self.loop.now() + patience > end + kind.deadline:
+                return
+            self.loop.sleep(random.randint(20_000, 120_000))
+
+    def _again(self, done: Try, kind: Kind) -> bool:
+        if done.end == "unreachable" or (done.end == "answer" and done.harmless):
+            return True
+        return kind.safe and (done.end != "answer" or done.status >= 500)
+
+    def _gateway(self, subscriber: Subscriber) -> int:
+        """The busiest of the set most often."""
+        random, ranks = self.loop.world.random, subscriber.gateways
+        return ranks[min(int(random.expovariate(0.9)), len(ranks) - 1)]
+
+    def _try(self, request: str, name: str, subscriber: Subscriber, kind: Kind, patience: int) -> Try:
+        rank = self._gateway(subscriber)
+        at = self.loop.now()
+        by = at + patience
+        ended, end, status, harmless, extra = self._exchange(rank, request, name, subscriber, kind, by)
+        done = Try(
+            at=at,
+            by=by,
+            ended=ended,
+            gateway=self.gateways[rank][0],
+            request=request,
+            name=name,
+            class_name=kind.class_name,
+            customer=subscriber.number,
+            end=end,
+            status=status,
+            harmless=harmless,
+            extra=extra,
+        )
+        self.record(done)
+        return done
+
+    def _exchange(
+        self, rank: int, request: str, name: str, subscriber: Subscriber, kind: Kind, by: int
+    ) -> tuple[int, str, int, bool, int]:
+        loop = self.loop
+        try:
+            stream, parser = self._connection(rank, min(by, loop.now() + CONNECT))
+        except (NotConnected, Expired):
+            return loop.now(), "unreachable", 0, False, 0
+        end, status, harmless, extra, keep = "reset", 0, False, 0, False
+        try:
+            stream.send(self._bytes(request, name, subscriber, kind, by), by)
+            parser.expect(kind.method)
+            head = self._answer(stream, parser, by + LISTEN_ON)
+            end, status = "answer", head.status
+            harmless = status in (429, 503)
+            extra = parser.pending
+            keep = head.keep_alive and not extra
+        except Expired:
+            end = "silence"
+        except Closed as closed:
+            end = "cut" if "within" in str(closed) else "reset"
+        except Malformed:
+            end = "cut"
+        ended = loop.now()
+        if keep:
+            parser.next_message()
+            self.idle.setdefault(rank, []).append((stream, parser))
+        else:
+            stream.close()
+        return ended, end, status, harmless, extra
+
+    def _connection(self, rank: int, by: int) -> tuple[Stream, http1.ResponseParser]:
+        idle = self.idle.get(rank, [])
+        while idle:
+            stream, parser = idle.pop()
+            try:
+                if stream.try_recv() is None:
+                    return stream, parser
+            except Closed:
+                pass
+            stream.close()
+        return self.loop.world.connect(self.gateways[rank][1], by), http1.ResponseParser()
+
+    def _bytes(self, request: str, name: str, subscriber: Subscriber, kind: Kind, by: int) -> bytes:
+        headers = [
+            (b"host", b"gateway"),
+            (b"x-api-key", subscriber.key.encode()),
+            (b"give-up-after-ms", b"%d" % max(1, (by - self.loop.now()) // 1_000)),
+            (b"lab-request", request.encode()),
+            (b"lab-try", name.encode()),
+        ]
+        if kind.method == "PUT":
+            headers.append((b"idempotency-key", request.encode()))
+        if kind.body:
+            headers.append((b"content-length", b"%d" % kind.body))
+        target = kind.target.replace("{}", request).encode()
+        return http1.request_head(kind.method, target, headers) + b"b" * kind.body
+
+    def _answer(self, stream: Stream, parser: http1.ResponseParser, by: int) -> Response:
+        head = None
+        while True:
+            event = parser.next_event()
+            if event is None:
+                data = stream.recv(deadline=by)
+                parser.receive(data)
+                if not data and parser.next_event() is None:
+                    raise Closed("the end within an answer" if head else "the end before an answer")
+            elif isinstance(event, Response) and event.status >= 200:
+                head = event
+            elif isinstance(event, End):
+                assert head is not None
+                return head
+            else:
+                assert isinstance(event, Data | Response)
--- /dev/null
+++ b/orchidlane/lab/day.cue
@@ -0,0 +1,47 @@
+// What a scripted day may be. A script is unified with #Day.
+
+#Duration: =~"^[0-9]+(\\.[0-9]+)?(us|ms|s|m|h)$"
+#Chance:   number & >=0 & <=1
+
+#Step: {
+	at: #Duration
+	do: "kill_gateway" | "drain_gateway" | "freeze_gateway" | "kill_node" | "drain_node" | "freeze_node" |
+		"cut_peers" | "peer_faults" | "node_faults" | "late_list"
+	which:        *[] | [...int]
+	for:          *"0s" | #Duration
+	back:         *"500ms" | #Duration // until a killed one starts anew
+	reset_before: *0 | #Chance
+	reset_after:  *0 | #Chance
+	cut:          *0 | #Chance
+	silent:       *0 | #Chance
+	full:         *0 | #Chance
+	loss:         *0 | #Chance
+	double:       *0 | #Chance
+	delay:        *"0s" | #Duration
+}
+
+#Kind: {
+	class:  string
+	share:  number & >0
+	method: "GET" | "PUT" | "POST"
+	target: string // {} stands for the request's name
+	work:   #Duration
+	body:   *0 | int & >=0
+}
+
+#Day: {
+	fleet:     string // a fleet's settings; its addresses are replaced
+	gateways:  int & >=1 & <=400
+	racks:     int & >=1
+	rack_size: int & >=1
+	cores:     *2 | number & >0
+	customers: int & >=1
+	rate:      number & >0 // requests a second
+	span:      #Duration
+	kinds:     [...#Kind]
+	list_delay: *["200ms", "900ms"] | [#Duration, #Duration]
+	peer_loss:  *0.02 | #Chance
+	answer_slack:  *"100ms" | #Duration
+	arrival_slack: *"100ms" | #Duration
+	steps:     [...#Step]
+}
--- /dev/null
+++ b/orchidlane/lab/standins.py
@@ -0,0 +1,133 @@
+"""Stand-ins for the node list and for the network between gateways."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+import msgspec
+
+from .. import http1
+from ..gateway.datagram import HEAD
+from ..gateway.nodelist import ListLine, NodeLine
+from ..http1 import Malformed, Request
+from ..loop import CONTROL, PEERS, Closed, Expired, Loop, Scope, Stream
+from ..loop.world import Address, Datagrams
+from .records import Record, Told
+
+HEARTBEAT = 3_000_000  # microseconds between two empty lines
+
+
+class NodeList:
+    """Keeps the list and pushes each change to every watch, so long after it happened."""
+
+    def __init__(
+        self, loop: Loop, at: Address, delay: tuple[int, int], record: Callable[[Record], None]
+    ) -> None:
+        self.loop = loop
+        self.delay = delay
+        self.record = record
+        self.epoch = "one"
+        self.version = 0
+        self.nodes: dict[str, NodeLine] = {}
+        self.names: dict[str, str] = {}  # address -> node
+        self.watches: dict[Stream, str] = {}
+        self.listener = loop.world.listen(at)
+
+    def set(self, name: str, node: NodeLine) -> None:
+        """A node's state changed just now; the watches hear of it later."""
+        span = self.loop.world.random.randint(*self.delay)
+        self.loop.call_at(self.loop.now() + span, self._publish, (name, node))
+
+    def _publish(self, what: tuple[str, NodeLine]) -> None:
+        name, node = what
+        self.version += 1
+        self.names[node.address] = name
+        if node.phase == "gone":
+            self.nodes.pop(node.address, None)
+        else:
+            self.nodes[node.address] = node
+        line = ListLine("changes", self.epoch, self.version, (node,), self.version - 1)
+        for stream, gateway in list(self.watches.items()):
+            self._push(stream, gateway, line)
+
+    def _push(self, stream: Stream, gateway: str, line: ListLine) -> None:
+        self.loop.spawn(self._write, stream, gateway, line, kind=CONTROL, name="push")
+
+    def _write(self, stream: Stream, gateway: str, line: ListLine) -> None:
+        try:
+            stream.send(http1.chunk(msgspec.json.encode(line) + b"\n"), self.loop.now() + 5_000_000)
+        except (Closed, Expired):
+            self._drop(stream)
+            return
+        for node in line.nodes:
+            self.record(Told(self.loop.now(), gateway, self.names[node.address], node.phase))
+
+    def serve(self) -> None:
+        """Take watches for ever."""
+        with Scope(self.loop) as scope:
+            while True:
+                scope.spawn(self._watch, self.listener.accept(), kind=CONTROL)
+
+    def _watch(self, stream: Stream) -> None:
+        parser = http1.RequestParser()
+        try:
+            while not isinstance(head := parser.next_event(), Request):
+                parser.receive(stream.recv())
+                if parser.ended:
+                    return
+            gateway = (http1.header(head.headers, b"user-agent") or b" ").decode().split(" ")[-1]
+            stream.send(http1.response_head(200, [(b"transfer-encoding", b"chunked")]))
+            whole = ListLine("whole", self.epoch, self.version, tuple(self.nodes.values()))
+            self.watches[stream] = gateway
+            self._write(stream, gateway, whole)
+            for address, name in self.names.items():
+                if address not in self.nodes:  # a whole list tells of those that are not on it, too
+                    self.record(Told(self.loop.now(), gateway, name, "gone"))
+            while stream in self.watches:
+                self.loop.sleep(HEARTBEAT)
+                stream.send(http1.chunk(b"\n"), self.loop.now() + HEARTBEAT)
+        except (Closed, Expired, Malformed):
+            pass
+        finally:
+            self._drop(stream)
+
+    def _drop(self, stream: Stream) -> None:
+        self.watches.pop(stream, None)
+        stream.close()
+
+
+class Relay:
+    """Between the gateways: datagrams are lost, delayed, doubled, or cut off by pair of ranks."""
+
+    def __init__(self, loop: Loop, ways: list[tuple[Address, Address]]) -> None:
+        self.loop = loop
+        self.targets = [target for _, target in ways]
+        self.sockets: list[Datagrams] = [loop.world.datagrams(at) for at, _ in ways]
+        self.loss = 0.0
+        self.double = 0.0
+        self.delay = (0, 0)
+        self.cuts: set[frozenset[int]] = set()
+
+    def serve(self) -> None:
+        """Bring datagrams for ever."""
+        with Scope(self.loop) as scope:
+            for rank in range(len(self.sockets)):
+                scope.spawn(self._one, rank, kind=PEERS)
+
+    def _one(self, rank: int) -> None:
+        random = self.loop.world.random
+        while True:
+            data, _ = self.sockets[rank].recv()
+            sender = HEAD.unpack_from(data)[3] if len(data) >= HEAD.size else -1
+            if frozenset((sender, rank)) in self.cuts or random.random() < self.loss:
+                continue
+            for _ in range(1 + (random.random() < self.double)):
+                span = random.randint(*self.delay)
+                if span:
+                    self.loop.call_at(self.loop.now() + span, self._bring, (rank, data))
+                else:
+                    self._bring((rank, data))
+
+    def _bring(self, what: tuple[int, bytes]) -> None:
+        rank, data = what
+        self.sockets[rank].send(data, self.targets[rank])
--- a/orchidlane/loop/real.py
+++ b/orchidlane/loop/real.py
@@ -267,6 +267,11 @@
             view = view[done:]
         self.world.loop.breathe()
 
+    def end(self) -> None:
+        if not self.closed:
+            with contextlib.suppress(OSError):
+                self.sock.shutdown(socket.SHUT_WR)
+
     def abort(self) -> None:
         if not self.closed:
             with contextlib.suppress(OSError):
--- a/orchidlane/loop/scheduler.py
+++ b/orchidlane/loop/scheduler.py
@@ -301,8 +301,7 @@
             task.scope = None  # nobody is told: the owners die with it
             task.cancelled = True
             task.parked = False
-            if task.run.gr_frame is not None or task.run.dead:
-                self._resume(task, Cancelled())
+            self._queues[task.kind].append((task, None))  # to be ended there
         process.tasks.clear()
 
 
--- a/orchidlane/loop/simulated.py
+++ b/orchidlane/loop/simulated.py
@@ -164,6 +164,7 @@
         self.ended = False  # the other side sends no more
         self.reset = False
         self.closed = False
+        self.finished = False  # we send no more
         self.reader: Task | None = None
         self.writer: Task | None = None
         self._last = 0  # when the latest delivery to us is due: they keep their order
@@ -269,10 +270,15 @@
                 self.other._deliver(self.other._arrive, part)
         self.world.loop.breathe()
 
+    def end(self) -> None:
+        if not self.closed and not self.finished:
+            self.finished = True
+            self.other._deliver(self.other._end, None)
+
     def close(self) -> None:
         if not self.closed:
+            self.end()
             self._leave()
-            self.other._deliver(self.other._end, None)
 
     def abort(self) -> None:
         if not self.closed:
--- a/orchidlane/loop/world.py
+++ b/orchidlane/loop/world.py
@@ -29,6 +29,9 @@
     def send(self, data: bytes, deadline: int | None = None) -> None:
         """Hand all bytes over; waits while the other side does not take them. Raises Closed, Expired."""
 
+    def end(self) -> None:
+        """Send no more; reading goes on."""
+
     def close(self) -> None:
         """End the connection in order; what was handed over is still brought."""
 
--- a/orchidlane/routes/tree.py
+++ b/orchidlane/routes/tree.py
@@ -69,10 +69,10 @@
         for _, known, _, child in node.patterns:
             if known == source:
                 return child
-        child: _Node[Value] = _Node()
-        node.patterns.append((-sum(map(len, literal)), source, re.compile(source, re.S), child))
+        fresh: _Node[Value] = _Node()
+        node.patterns.append((-sum(map(len, literal)), source, re.compile(source, re.S), fresh))
         node.patterns.sort(key=lambda entry: entry[:2])  # the one with the most literal text goes first
-        return child
+        return fresh
 
     def match(self, path: str) -> tuple[Value, dict[str, str]] | None:
         """The value of the first template that fits, and its parameters as they stand in the path."""
--- a/orchidlane/rules.py
+++ b/orchidlane/rules.py
@@ -89,7 +89,7 @@
             return self._end(request)
         first = not request.attempts
         if first and not self._admits(request):
-            return self._end(request)
+            return self._end(request, beyond_quota=True)
         host = self._choose(request)
         if host is None:
             span = min(HOLD, last_call - self.now)
@@ -190,12 +190,13 @@
             repeat = self.budget >= 0 and request.cls.effect is not Effect.UNSAFE
             (self._advance if repeat or not attempt.ran else self._end)(request)
 
-    def _end(self, request: Request) -> None:
+    def _end(self, request: Request, beyond_quota: bool = False) -> None:
         """Every final answer of ours passes here: refuse where a retry is harmless, else fail."""
         cls = request.cls
         ran, number = any(a.ran for a in request.attempts), request.event.request
         repeats = cls.effect is Effect.SAFE or (cls.effect is Effect.KEYED and cls.group is Group.ALL)
-        self.actions.append(api.Refuse(number, 0) if repeats or not ran else api.Fail(number))
+        harmless = repeats or not ran
+        self.actions.append(api.Refuse(number, 0, beyond_quota) if harmless else api.Fail(number))
         self._drop(request)
 
     def _drop(self, request: Request) -> None:
