--- a/orchidlane/cli/main.py
+++ b/orchidlane/cli/main.py
@@ -7,6 +7,7 @@
 
 import json
 import logging
+import os
 import sys
 from collections.abc import Iterator
 from contextlib import contextmanager
@@ -97,6 +98,27 @@
     sys.exit(0 if all(verdict.rules.values()) else 1)
 
 
+@main.command()
+@click.argument("script")
+@click.option("--first", type=int, default=1, show_default=True)
+@click.option("--count", type=int, default=200, show_default=True)
+@click.option("--jobs", type=int, default=None, help="Days played at once; as many as cores if left out.")
+def seeds(script: str, first: int, count: int, jobs: int | None) -> None:
+    """Play random troubles over a script's fleet in the simulated world, a day for each seed."""
+    from ..lab.day import load_day
+    from ..lab.trouble import broken, play_seeds
+
+    with clear_errors():
+        loaded = load_day(script)
+    found = play_seeds(loaded, range(first, first + count), jobs or os.cpu_count() or 1)
+    wrong = broken(found)
+    for seed, verdict in wrong.items():
+        click.echo(f"seed {seed}: {json.dumps(verdict)}")
+    requests = sum(int(str(verdict.get("requests", 0))) for verdict in found.values())
+    click.echo(f"{len(found)} days, {requests} requests, {len(wrong)} with a broken rule")
+    sys.exit(1 if wrong else 0)
+
+
 @main.group("config")
 def config_group() -> None:
     """Check and show settings."""
--- a/orchidlane/lab/audit.py
+++ b/orchidlane/lab/audit.py
@@ -72,7 +72,7 @@
     away: dict[str, list[Away]] = defaultdict(list)
     for record in records:
         if isinstance(record, Away):
-            away[record.gateway].append(record)
+            away[record.who].append(record)
     owed = [t for t in tries if _owed(t, away[t.gateway], terms.answer_slack)]
     runs = sorted((r for r in records if isinstance(r, Run)), key=lambda run: run.at)
     arrivals = sorted((r for r in records if isinstance(r, Arrival)), key=lambda arrival: arrival.at)
@@ -93,11 +93,21 @@
     )
 
 
-def _owed(one: Try, away: list[Away], slack: int) -> bool:
-    """Whether a gateway took the request, and ran all the time that it had for it."""
+def _owed(one: Try, gaps: list[Away], slack: int) -> bool:
+    """Whether the try counts: all do that were answered in time, the others unless their gateway was away.
+
+    One that was killed or stood still owes nothing for what it held then. One that drains owes all that it
+    has taken; only a connection that it closed before a request came over it may end without a word.
+    """
     if one.end == "unreachable":
         return False
-    return not any(gap.begin <= one.by + slack and gap.end + slack >= one.at for gap in away)
+    if one.end == "answer" and one.ended <= one.by + slack:
+        return True
+    for gap in gaps:
+        overlaps = gap.begin <= one.by + slack and gap.end + slack >= one.at
+        if overlaps and (gap.why != "drained" or (one.end == "reset" and one.at >= gap.begin - slack)):
+            return False
+    return True
 
 
 def _effects_twice(runs: list[Run], terms: Terms) -> list[str]:
@@ -145,7 +155,7 @@
     found = []
     for arrival in arrivals:
         gaps = away[arrival.gateway]
-        born = max((gap.end for gap in gaps if gap.anew and gap.begin <= arrival.at), default=0)
+        born = max((gap.end for gap in gaps if gap.why != "still" and gap.begin <= arrival.at), default=0)
         news = [
             one
             for one in told.get((arrival.gateway, arrival.node), [])
@@ -157,11 +167,20 @@
         while place and news[place - 1][1] != "ready":
             place -= 1  # gone after draining: the grace runs from the first word
         at = _awake(news[place][0], gaps)
-        if arrival.at > at + terms.drain_grace + terms.arrival_slack:
+        if (
+            _sent_by(arrival, away[arrival.node], terms.arrival_slack)
+            > at + terms.drain_grace + terms.arrival_slack
+        ):
             found.append(arrival.attempt)
     return found
 
 
+def _sent_by(arrival: Arrival, gaps: list[Away], slack: int) -> int:
+    """The earliest that an attempt may have reached a node, which reads late after it stood still."""
+    still = [gap.begin for gap in gaps if gap.begin <= arrival.at <= gap.end + slack]
+    return min(still, default=arrival.at)
+
+
 def _awake(at: int, gaps: list[Away]) -> int:
     """When a gateway that stood still could hear."""
     for gap in gaps:
--- a/orchidlane/lab/backing.py
+++ b/orchidlane/lab/backing.py
@@ -15,6 +15,7 @@
 
 from ..gateway.customers import load_customers
 from ..gateway.program import Knowledge, Program
+from ..gateway.settings import Fleet
 from ..loop import Faults as NetFaults
 from ..loop import Loop, Process, RealWorld, SimWorld
 from ..loop.world import Address
@@ -34,7 +35,7 @@
         self.plan: Plan
         self.settings: list[str] = []
         self.processes: dict[str, Process] = {}
-        self._fleets: dict[int, object] = {}
+        self.programs: dict[int, Program] = {}
         self._next = 20_000
 
     def free_addresses(self, count: int) -> list[Address]:
@@ -54,18 +55,23 @@
         knowledge = Knowledge(self.plan.generation, self.customers, structlog.get_logger(), False)
         self.processes[f"gw-{rank}"] = self.world.start(f"gw-{rank}", self._gateway, fleet, rank, knowledge)
 
-    def _gateway(self, fleet, rank: int, knowledge: Knowledge) -> None:
+    def _gateway(self, fleet: Fleet, rank: int, knowledge: Knowledge) -> None:
         program = Program(self.loop, fleet, rank, SECRET, knowledge)
-        self._fleets[rank] = program
+        self.programs[rank] = program
         program.run()
 
     def end_gateway(self, rank: int, kill: bool) -> None:
+        if kill:
+            self.world.kill(self.processes[f"gw-{rank}"])
+        else:
+            self.programs[rank].stop()
+
+    def gateway_ended(self, rank: int) -> bool:
         process = self.processes[f"gw-{rank}"]
-        if not kill:
-            self._fleets[rank].stop()  # type: ignore[attr-defined]
-            while process.tasks:
-                self.loop.sleep(10_000)
-        self.world.kill(process)
+        if process.tasks:
+            return False
+        self.world.kill(process)  # what it had open goes with it, as a kernel would see to
+        return True
 
     def freeze_gateway(self, rank: int, still: bool) -> None:
         self._freeze(f"gw-{rank}", still)
@@ -141,10 +147,10 @@
         self._start(f"gw-{rank}", "gateway", str(self.folder / f"gw-{rank}.cue"), "--rank", str(rank))
 
     def end_gateway(self, rank: int, kill: bool) -> None:
-        process = self.processes[f"gw-{rank}"]
-        process.send_signal(signal.SIGKILL if kill else signal.SIGTERM)
-        if kill:
-            process.wait(END_WITHIN)
+        self.processes[f"gw-{rank}"].send_signal(signal.SIGKILL if kill else signal.SIGTERM)
+
+    def gateway_ended(self, rank: int) -> bool:
+        return self.processes[f"gw-{rank}"].poll() is not None
 
     def freeze_gateway(self, rank: int, still: bool) -> None:
         self._freeze(f"gw-{rank}", still)
--- a/orchidlane/lab/day.py
+++ b/orchidlane/lab/day.py
@@ -101,7 +101,10 @@
         """Start a gateway."""
 
     def end_gateway(self, rank: int, kill: bool) -> None:
-        """Kill a gateway, or have it drain and wait for its end."""
+        """Kill a gateway, or have it drain."""
+
+    def gateway_ended(self, rank: int) -> bool:
+        """Whether a gateway that was ended is gone."""
 
     def freeze_gateway(self, rank: int, still: bool) -> None:
         """Have a gateway stand still, or go on."""
@@ -246,6 +249,7 @@
     relay: Relay | None = None
     node_list: NodeList | None = None
     crowd: Crowd | None = None
+    restarting: set[str] = field(default_factory=set)
 
     def run(self) -> Verdict:
         """From the first start to the verdict."""
@@ -369,12 +373,16 @@
     def _end_gateways(self, step: Step, kill: bool) -> None:
         """One after another, as a deploy goes."""
         for rank in step.which:
+            self._claim(f"gw-{rank}")
             began = self.loop.now()
             self.backing.end_gateway(rank, kill)
+            while not self.backing.gateway_ended(rank):
+                self.loop.sleep(10_000)
             self.loop.sleep(step.back)
             self.backing.start_gateway(rank)
             self._until_up(self.plan.gateways[rank])
-            self.records.append(Away(f"gw-{rank}", began, self.loop.now(), anew=True))
+            self.records.append(Away(f"gw-{rank}", began, self.loop.now(), "killed" if kill else "drained"))
+            self._free(f"gw-{rank}")
 
     def _freeze_gateway(self, step: Step) -> None:
         began = self.loop.now()
@@ -383,10 +391,11 @@
         self.loop.sleep(step.span)
         for rank in step.which:
             self.backing.freeze_gateway(rank, False)
-            self.records.append(Away(f"gw-{rank}", began, self.loop.now(), anew=False))
+            self.records.append(Away(f"gw-{rank}", began, self.loop.now(), "still"))
 
     def _kill_node(self, step: Step) -> None:
         for index in step.which:
+            self._claim(f"node-{index}")
             self.backing.kill_node(self.plan.nodes[index].name)
             self._tell(index, "gone")
         self.loop.sleep(step.back)
@@ -396,6 +405,7 @@
     def _drain_node(self, step: Step) -> None:
         """One after another: drain, end, come back cold."""
         for index in step.which:
+            self._claim(f"node-{index}")
             self._tell(index, "draining")
             self.loop.sleep(step.span)
             self.backing.kill_node(self.plan.nodes[index].name)
@@ -409,6 +419,16 @@
         self.backing.start_node(spec)
         self._until_up(spec.address)
         self._tell(index, "ready", launched)
+        self._free(f"node-{index}")
+
+    def _claim(self, name: str) -> None:
+        """One start or end of a process at a time."""
+        while name in self.restarting:
+            self.loop.sleep(10_000)
+        self.restarting.add(name)
+
+    def _free(self, name: str) -> None:
+        self.restarting.discard(name)
 
     def _tell(self, index: int, phase: str, launched: int = 0) -> None:
         assert self.node_list is not None
@@ -416,11 +436,13 @@
         self.node_list.set(spec.name, self._line(spec, phase, launched))
 
     def _freeze_node(self, step: Step) -> None:
+        began = self.loop.now()
         for index in step.which:
             self.backing.freeze_node(self.plan.nodes[index].name, True)
         self.loop.sleep(step.span)
         for index in step.which:
             self.backing.freeze_node(self.plan.nodes[index].name, False)
+            self.records.append(Away(f"node-{index}", began, self.loop.now(), "still"))
 
     def _cut_peers(self, step: Step) -> None:
         """The gateways named are cut off from all others."""
--- a/orchidlane/lab/records.py
+++ b/orchidlane/lab/records.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from typing import Literal
+
 import msgspec
 
 
@@ -64,12 +66,12 @@
 
 
 class Away(msgspec.Struct, frozen=True, tag="away"):
-    """A gateway was killed (or drained), or stood still: from when to when."""
+    """A gateway or node was killed, drained, or stood still (``why``): from when to when."""
 
-    gateway: str
+    who: str
     begin: int
     end: int
-    anew: bool  # it came back as a new process, which was told nothing yet
+    why: Literal["killed", "drained", "still"]
 
 
 Record = Arrival | Run | Fell | Told | Try | Away
--- a/orchidlane/lab/standins.py
+++ b/orchidlane/lab/standins.py
@@ -31,12 +31,14 @@
         self.nodes: dict[str, NodeLine] = {}
         self.names: dict[str, str] = {}  # address -> node
         self.watches: dict[Stream, str] = {}
+        self._last: dict[str, int] = {}  # when a node's latest news is due: each node's keep their order
         self.listener = loop.world.listen(at)
 
     def set(self, name: str, node: NodeLine) -> None:
         """A node's state changed just now; the watches hear of it later."""
-        span = self.loop.world.random.randint(*self.delay)
-        self.loop.call_at(self.loop.now() + span, self._publish, (name, node))
+        due = self.loop.now() + self.loop.world.random.randint(*self.delay)
+        self._last[name] = due = max(due, self._last.get(name, 0) + 1)
+        self.loop.call_at(due, self._publish, (name, node))
 
     def _publish(self, what: tuple[str, NodeLine]) -> None:
         name, node = what
--- /dev/null
+++ b/orchidlane/lab/trouble.py
@@ -0,0 +1,91 @@
+"""Random days: troubles drawn from a seed, many at once, for the simulated world."""
+
+from __future__ import annotations
+
+import random
+from concurrent.futures import ProcessPoolExecutor
+
+import msgspec
+
+from ..config import Duration
+from ..loop import Faults as NetFaults
+from .backing import simulate
+from .day import Day, Step
+
+MS, SECOND = 1_000, 1_000_000
+KINDS = (
+    *("kill_gateway", "drain_gateway", "freeze_gateway", "kill_node", "drain_node", "freeze_node"),
+    *("cut_peers", "peer_faults", "node_faults", "node_faults", "late_list"),
+)
+
+
+def random_steps(seed: int, day: Day) -> tuple[Step, ...]:
+    """Three to eight troubles within the first three quarters of the day."""
+    rng = random.Random(seed)
+    return tuple(_step(rng, day) for _ in range(rng.randint(3, 8)))
+
+
+def _step(rng: random.Random, day: Day) -> Step:
+    nodes = list(range(day.racks * day.rack_size))
+    gateways = list(range(day.gateways))
+    at = Duration(rng.randint(0, int(day.span * 0.75)))
+    span = Duration(rng.randint(50 * MS, 2_500 * MS))
+    back = Duration(rng.randint(0, 1_500 * MS))
+    some_nodes = tuple(rng.sample(nodes, rng.randint(1, max(1, len(nodes) // 2))))
+    some_gateways = tuple(rng.sample(gateways, rng.randint(1, max(1, len(gateways) // 2))))
+    kind = rng.choice(KINDS)
+    which = some_gateways if "gateway" in kind or kind == "cut_peers" else some_nodes
+    if kind == "peer_faults":
+        delay = Duration(rng.randint(0, 200 * MS))
+        return Step(at, kind, (), span, loss=rng.random(), double=rng.random(), delay=delay)
+    if kind == "node_faults":
+        reset_before, reset_after, cut, silent, full = (rng.choice((0.0, 0.05, 0.3)) for _ in range(5))
+        return Step(at, kind, which, span, back, reset_before, reset_after, cut, silent, full)
+    if kind == "late_list":
+        return Step(at, kind, (), span, delay=Duration(rng.randint(SECOND, 4 * SECOND)))
+    return Step(at, kind, which, span, back)
+
+
+def random_net(seed: int) -> NetFaults:
+    """A network whose delays, losses and repeats are drawn from the seed."""
+    rng = random.Random(seed ^ 0x5EED)
+    return NetFaults(
+        delay=(20, rng.choice((200, 1_000, 5_000))),
+        slow_chance=rng.choice((0.0, 0.001, 0.01)),
+        datagram_loss=rng.choice((0.0, 0.02, 0.1)),
+        datagram_double=rng.choice((0.0, 0.01, 0.1)),
+    )
+
+
+def play_seed(day: Day, seed: int) -> tuple[int, dict[str, object]]:
+    """One random day and what the audit found."""
+    trouble = msgspec.structs.replace(day, steps=random_steps(seed, day))
+    verdict = simulate(trouble, seed, random_net(seed))
+    return seed, verdict.as_json()
+
+
+def _quiet_play(arguments: tuple[Day, int]) -> tuple[int, dict[str, object]]:
+    import logging
+
+    import structlog
+
+    structlog.configure(wrapper_class=structlog.make_filtering_bound_logger(logging.CRITICAL))
+    try:
+        return play_seed(*arguments)
+    except BaseException as failure:
+        return arguments[1], {"rules": {}, "failure": f"{type(failure).__name__}: {failure}"}
+
+
+def play_seeds(day: Day, seeds: range, jobs: int) -> dict[int, dict[str, object]]:
+    """Many random days, so many at once; the same seed gives the same day whatever the number of jobs."""
+    with ProcessPoolExecutor(jobs) as pool:
+        return dict(pool.map(_quiet_play, [(day, seed) for seed in seeds], chunksize=4))
+
+
+def broken(found: dict[int, dict[str, object]]) -> dict[int, dict[str, object]]:
+    """The seeds on which a rule did not hold, or nothing could be said."""
+    return {
+        seed: verdict
+        for seed, verdict in found.items()
+        if verdict.get("failure") or not all(verdict["rules"].values())  # type: ignore[attr-defined]
+    }
--- a/orchidlane/loop/real.py
+++ b/orchidlane/loop/real.py
@@ -287,6 +287,7 @@
         self.address: Address = sock.getsockname()
 
     def accept(self, deadline: int | None = None) -> RealStream:
+        self.world.loop.breathe()
         while True:
             if self.closed:
                 raise Closed("closed on our side")
@@ -300,7 +301,6 @@
                     raise NotConnected(str(error)) from None
                 raise Closed(str(error)) from None
             sock.setblocking(False)
-            self.world.loop.breathe()
             return RealStream(self.world, sock, peer)
 
 
--- a/orchidlane/loop/simulated.py
+++ b/orchidlane/loop/simulated.py
@@ -317,6 +317,7 @@
             self.world.loop.wake(task)
 
     def accept(self, deadline: int | None = None) -> SimStream:
+        self.world.loop.breathe()
         while not self.queue:
             if self.closed:
                 raise Closed("closed on our side")
@@ -325,7 +326,6 @@
                 self.world.loop.park(deadline)
             finally:
                 self.task = None
-        self.world.loop.breathe()
         return self.queue.popleft()
 
     def close(self) -> None:
