--- a/orchidlane/lab/audit.py
+++ b/orchidlane/lab/audit.py
@@ -12,7 +12,7 @@
 from typing import Any
 
 from .. import interface as api
-from .records import Arrival, Away, Fell, Record, Run, Told, Try
+from .records import Arrival, Away, Extra, Fell, Record, Run, Told, Try
 
 
 @dataclass(frozen=True, slots=True)
@@ -81,7 +81,7 @@
         tries=len(tries),
         answers=dict(sorted(Counter(str(t.status) if t.status else t.end for t in tries).items())),
         missing=[t.name for t in owed if t.end != "answer"],
-        doubled=[t.name for t in tries if t.extra],
+        doubled=[t.name for t in tries if t.extra] + [r.name for r in records if isinstance(r, Extra)],
         late=[t.name for t in owed if t.end == "answer" and t.ended > t.by + terms.answer_slack],
         set_aside=len(tries) - len(owed),
         effects_twice=_effects_twice(runs, terms),
--- a/orchidlane/lab/clients.py
+++ b/orchidlane/lab/clients.py
@@ -14,7 +14,7 @@
 from ..http1 import Data, End, Malformed, Response
 from ..loop import REQUESTS, Closed, Expired, Loop, NotConnected, Scope, Stream
 from ..loop.world import Address
-from .records import Record, Try
+from .records import Extra, Record, Try
 
 LISTEN_ON = 400_000  # microseconds after giving up
 CONNECT = 300_000
@@ -56,7 +56,7 @@
     record: Callable[[Record], None]
     tries: int = 3
     sent: int = 0
-    idle: dict[int, list[tuple[Stream, http1.ResponseParser]]] = field(default_factory=dict)
+    idle: dict[int, list[tuple[Stream, http1.ResponseParser, str]]] = field(default_factory=dict)
 
     def run(self) -> None:
         """Send until the span is over, then wait for all answers."""
@@ -72,6 +72,9 @@
                 kind = random.choices(self.kinds, shares)[0]
                 self.sent += 1
                 scope.spawn(self._request, f"r{self.sent}", subscriber, kind, kind=REQUESTS)
+        for kept in self.idle.values():
+            for stream, _, name in kept:
+                self._is_quiet(stream, name)
 
     def _request(self, name: str, subscriber: Subscriber, kind: Kind) -> None:
         random = self.loop.world.random
@@ -141,7 +144,7 @@
         ended = loop.now()
         if keep:
             parser.next_message()
-            self.idle.setdefault(rank, []).append((stream, parser))
+            self.idle.setdefault(rank, []).append((stream, parser, name))
         else:
             stream.close()
         return ended, end, status, harmless, extra
@@ -149,15 +152,22 @@
     def _connection(self, rank: int, by: int) -> tuple[Stream, http1.ResponseParser]:
         idle = self.idle.get(rank, [])
         while idle:
-            stream, parser = idle.pop()
-            try:
-                if stream.try_recv() is None:
-                    return stream, parser
-            except Closed:
-                pass
+            stream, parser, name = idle.pop()
+            if self._is_quiet(stream, name):
+                return stream, parser
             stream.close()
         return self.loop.world.connect(self.gateways[rank][1], by), http1.ResponseParser()
 
+    def _is_quiet(self, stream: Stream, name: str) -> bool:
+        """Whether nothing came after the answer to the try before; bytes would be a second one."""
+        try:
+            data = stream.try_recv()
+        except Closed:
+            return False
+        if data:
+            self.record(Extra(name))
+        return data is None
+
     def _bytes(self, request: str, name: str, subscriber: Subscriber, kind: Kind, by: int) -> bytes:
         headers = [
             (b"host", b"gateway"),
--- a/orchidlane/lab/records.py
+++ b/orchidlane/lab/records.py
@@ -65,6 +65,12 @@
     extra: int = 0  # bytes after the answer that belong to none
 
 
+class Extra(msgspec.Struct, frozen=True, tag="extra"):
+    """Bytes came on a client's connection after the answer to a try, and belong to none."""
+
+    name: str
+
+
 class Away(msgspec.Struct, frozen=True, tag="away"):
     """A gateway or node was killed, drained, or stood still (``why``): from when to when."""
 
@@ -74,7 +80,7 @@
     why: Literal["killed", "drained", "still"]
 
 
-Record = Arrival | Run | Fell | Told | Try | Away
+Record = Arrival | Run | Fell | Told | Try | Extra | Away
 
 
 def encode(record: Record) -> bytes:
--- a/orchidlane/lab/standins.py
+++ b/orchidlane/lab/standins.py
@@ -68,7 +68,11 @@
         """Take watches for ever."""
         with Scope(self.loop) as scope:
             while True:
-                scope.spawn(self._watch, self.listener.accept(), kind=CONTROL)
+                try:
+                    stream = self.listener.accept()
+                except Closed:
+                    return
+                scope.spawn(self._watch, stream, kind=CONTROL)
 
     def _watch(self, stream: Stream) -> None:
         parser = http1.RequestParser()
--- a/orchidlane/lab/trouble.py
+++ b/orchidlane/lab/trouble.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import random
+from collections.abc import Iterable
 from concurrent.futures import ProcessPoolExecutor
 
 import msgspec
@@ -76,7 +77,7 @@
         return arguments[1], {"rules": {}, "failure": f"{type(failure).__name__}: {failure}"}
 
 
-def play_seeds(day: Day, seeds: range, jobs: int) -> dict[int, dict[str, object]]:
+def play_seeds(day: Day, seeds: Iterable[int], jobs: int) -> dict[int, dict[str, object]]:
     """Many random days, so many at once; the same seed gives the same day whatever the number of jobs."""
     with ProcessPoolExecutor(jobs) as pool:
         return dict(pool.map(_quiet_play, [(day, seed) for seed in seeds], chunksize=4))
--- /dev/null
+++ b/tests/house.py
@@ -0,0 +1,190 @@
+"""One gateway in the simulated world, with nodes that do exactly what a test says."""
+
+from __future__ import annotations
+
+import hashlib
+from pathlib import Path
+
+import msgspec
+import structlog
+
+from orchidlane import http1
+from orchidlane.gateway.customers import load_customers
+from orchidlane.gateway.nodelist import NodeLine
+from orchidlane.gateway.program import Knowledge, Program
+from orchidlane.gateway.settings import Fleet, parse_fleet
+from orchidlane.lab.standins import NodeList
+from orchidlane.loop import CONTROL, Closed, Expired, Faults, Loop, Scope, SimWorld
+from orchidlane.routes import build, load_description
+
+MATERIALS = Path(__file__).parent.parent / "examples" / "materials"
+GENERATION = build(load_description((MATERIALS / "openapi.yaml").read_bytes(), "o"), "o")
+KEY = b"a-key"
+MS, SECOND = 1_000, 1_000_000
+SETTINGS = (MATERIALS / "fleet.cue").read_text()
+OK = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+
+
+def fleet(**changes) -> Fleet:
+    """The example's settings with a roomy plan and some records changed."""
+    found = parse_fleet(SETTINGS, "fleet.cue")
+    roomy = msgspec.structs.replace(found.plans["basico"], rate=1_000.0, burst=3_000.0)
+    found = msgspec.structs.replace(found, plans={**found.plans, "basico": roomy})
+    for name, values in changes.items():
+        if isinstance(values, dict) and name != "plans":
+            values = msgspec.structs.replace(getattr(found, name), **values)
+        found = msgspec.structs.replace(found, **{name: values})
+    return found
+
+
+class House:
+    """The world of one test: ``handlers`` serve the nodes' connections, one handler for each node."""
+
+    def __init__(self, *handlers, racks: list[str] | None = None, seed: int = 1, **changes) -> None:
+        self.world = SimWorld(seed, Faults(delay=(100, 200), slow_chance=0.0, datagram_loss=0.0))
+        self.loop = Loop(self.world)
+        self.fleet = fleet(**changes)
+        self.handlers = handlers
+        self.racks = racks or ["r"] * len(handlers)
+        self.seen: list[tuple[int, bytes]] = []  # node, bytes of a request that it read
+        digest = hashlib.sha256(KEY).hexdigest()
+        text = b'{"customers":[{"id":1,"plan":"basico","keys":["%s"]}]}' % digest.encode()
+        self.customers = load_customers(text, "customers.json", self.fleet)
+        self.program: Program
+        self.list: NodeList
+
+    def run(self, test) -> None:
+        """Run ``test(house)`` once the gateway knows its nodes."""
+        self.loop.run(self._run, test)
+
+    def _run(self, test) -> None:
+        self.list = NodeList(self.loop, ("127.0.0.1", 8300), (1 * MS, 2 * MS), lambda _: None)
+        with Scope(self.loop) as scope:
+            self.scope = scope
+            scope.spawn(self.list.serve, kind=CONTROL)
+            for index in range(len(self.handlers)):
+                scope.spawn(self._serve, index)
+                self.set_phase(index, "ready")
+            self.start()
+            self.loop.sleep(300 * MS)
+            test(self)
+            scope.cancel()
+            self.world.kill(self.process)
+
+    def start(self, rank: int = 0) -> None:
+        """Start the gateway as a process of its own."""
+        self.process = self.world.start("gw-0", self._gateway, rank)
+
+    def _gateway(self, rank: int) -> None:
+        knowledge = Knowledge(GENERATION, self.customers, structlog.get_logger(), False)
+        self.program = Program(self.loop, self.fleet, rank, b"0123456789abcdef", knowledge)
+        self.program.run()
+
+    def address(self, index: int) -> tuple[str, int]:
+        """Where a node listens."""
+        return "127.0.0.1", 9000 + index
+
+    def set_phase(self, index: int, phase: str, launched: int = 0) -> None:
+        """What the node list says of a node from now on."""
+        node = NodeLine(f"127.0.0.1:{9000 + index}", phase, "hall-1", self.racks[index], launched)
+        self.list.set(f"node-{index}", node)
+
+    def _serve(self, index: int) -> None:
+        listener = self.world.listen(self.address(index))
+        while True:
+            try:
+                stream = listener.accept()
+            except Closed:
+                return
+            self.scope.spawn(self._connection, index, stream)
+
+    def _connection(self, index: int, stream) -> None:
+        try:
+            self.handlers[index](self, index, stream)
+        except Exception:
+            stream.close()
+
+    def read_request(self, index: int, stream) -> tuple[http1.Request, bytes]:
+        """A whole request as a node gets it."""
+        parser, head, body = http1.RequestParser(), None, b""
+        while True:
+            event = parser.next_event()
+            if event is None:
+                data = stream.recv()
+                if not data:
+                    raise ConnectionError
+                parser.receive(data)
+            elif isinstance(event, http1.Request):
+                head = event
+            elif isinstance(event, http1.Data):
+                body += event.data
+            else:
+                assert head is not None
+                self.seen.append((index, head.method.encode() + b" " + head.target))
+                return head, body
+
+    # -- clients
+
+    def connect(self):
+        """A client's connection to the gateway."""
+        return self.world.connect(("127.0.0.1", 8080))
+
+    def ask(self, raw: bytes, wait: int = 8 * SECOND) -> tuple[int, http1.Headers, bytes]:
+        """One request over its own connection: status (0: none came), headers and body."""
+        stream = self.connect()
+        stream.send(raw)
+        return self.answer(stream, raw.split(b" ")[0].decode(), wait)
+
+    def answer(self, stream, method: str = "GET", wait: int = 8 * SECOND, parser=None):
+        """The next final answer on a connection."""
+        parser = parser or http1.ResponseParser()
+        parser.expect(method)
+        by, head, body = self.loop.now() + wait, None, b""
+        while True:
+            event = parser.next_event()
+            if event is None:
+                try:
+                    data = stream.recv(deadline=by)
+                except Expired:
+                    return 0, (), body
+                parser.receive(data)
+                if not data and (event := parser.next_event()) is None:
+                    return 0, (), body
+            if isinstance(event, http1.Response) and event.status >= 200:
+                head = event
+            elif isinstance(event, http1.Data):
+                body += event.data
+            elif isinstance(event, http1.End):
+                return head.status, head.headers, body
+
+
+def request(method: str, target: str, headers: str = "", body: bytes = b"", length: bool = True) -> bytes:
+    """A request with the customer's key."""
+    lines = f"{method} {target} HTTP/1.1\r\nHost: g\r\nX-Api-Key: {KEY.decode()}\r\n{headers}"
+    if body and length:
+        lines += f"Content-Length: {len(body)}\r\n"
+    return lines.encode() + b"\r\n" + body
+
+
+GET = request("GET", "/v1/sheets/a")
+REPORT = request("POST", "/v1/reports", body=b"{}")
+UPLOAD = request("PUT", "/v1/tests/1", "Idempotency-Key: k\r\n", b"data")
+
+
+def good(house: House, index: int, stream) -> None:
+    """A node that serves."""
+    while True:
+        house.read_request(index, stream)
+        stream.send(OK)
+
+
+def resets_after(house: House, index: int, stream) -> None:
+    """A node that reads a request and resets."""
+    house.read_request(index, stream)
+    stream.abort()
+
+
+def silent(house: House, index: int, stream) -> None:
+    """A node that accepts and says nothing."""
+    house.read_request(index, stream)
+    house.loop.sleep(60 * SECOND)
--- /dev/null
+++ b/tests/test_day.py
@@ -0,0 +1,183 @@
+"""Days in both worlds, random troubles, and the audit proven by gateways that are broken on purpose."""
+
+from __future__ import annotations
+
+import logging
+import os
+from pathlib import Path
+
+import msgspec
+import pytest
+import structlog
+
+from orchidlane import interface as api
+from orchidlane.config import Duration
+from orchidlane.gateway import nodelist, upstream
+from orchidlane.gateway.exchange import Answer
+from orchidlane.gateway.front import Front
+from orchidlane.gateway.host import Host
+from orchidlane.lab.backing import play, simulate
+from orchidlane.lab.day import Day, Step, load_day
+from orchidlane.lab.trouble import broken, play_seeds
+from orchidlane.rules import Gateway
+
+MATERIALS = Path(__file__).parent.parent / "examples" / "materials"
+SECOND = 1_000_000
+SEEDS = range(1, 201)
+FOUND = (194, 244, 341)  # broke once: see CHANGELOG
+
+
+@pytest.fixture(autouse=True)
+def quiet():
+    structlog.configure(wrapper_class=structlog.make_filtering_bound_logger(logging.CRITICAL))
+    yield
+    structlog.reset_defaults()
+
+
+def day(*steps: Step, span=5, **changes) -> Day:
+    found = load_day(str(MATERIALS / "random.cue"))
+    return msgspec.structs.replace(found, span=Duration(span * SECOND), steps=steps, **changes)
+
+
+def step(at: float, do: str, *which: int, span: float = 0, back: float = 0, **chances) -> Step:
+    return Step(Duration(at * SECOND), do, which, Duration(span * SECOND), Duration(back * SECOND), **chances)
+
+
+def test_random_troubles_break_no_rule():
+    seeds = [*SEEDS, *(seed for seed in FOUND if seed not in SEEDS)]
+    found = play_seeds(load_day(str(MATERIALS / "random.cue")), seeds, os.cpu_count() or 1)
+    assert len(found) == len(seeds)
+    assert broken(found) == {}
+    assert sum(verdict["runs"] for verdict in found.values()) > 20_000
+
+
+def test_the_same_seed_gives_the_same_verdict():
+    bad = msgspec.structs.replace(load_day(str(MATERIALS / "bad.cue")), span=Duration(4 * SECOND))
+    first = simulate(bad, 5).as_json()
+    assert simulate(bad, 5).as_json() == first
+    assert simulate(bad, 6).as_json() != first
+
+
+def test_a_day_of_troubles_on_real_sockets_keeps_all_rules():
+    steps = (
+        step(0.5, "node_faults", 0, 1, span=4, reset_before=0.1, reset_after=0.1, cut=0.1, full=0.1),
+        step(0.5, "peer_faults", span=4, loss=0.2, double=0.2, delay=Duration(20_000)),
+        step(1.0, "kill_gateway", 1, back=0.2),
+        step(1.0, "drain_node", 3, span=1.5, back=0.2),
+        step(1.5, "freeze_gateway", 0, span=1.0),
+        step(2.0, "kill_node", 2, back=0.3),
+        step(3.0, "drain_gateway", 2),
+        step(3.0, "cut_peers", 0, span=1.0),
+    )
+    wide = day(*steps, answer_slack=Duration(SECOND // 4), arrival_slack=Duration(SECOND // 4))
+    verdict = play(wide, 1)
+    assert verdict.rules == dict.fromkeys("12345", True), verdict.as_json()
+    assert verdict.answers["200"] > 50
+    assert verdict.runs > 100
+
+
+# The audit must object to gateways that are broken on purpose.
+
+
+def rules(found: Day, seed: int = 1) -> dict[str, bool]:
+    return simulate(found, seed).rules
+
+
+def test_the_audit_objects_to_a_lost_answer(monkeypatch):
+    finish = Host._finish
+
+    def loses(self, exchange, answer):
+        if exchange.number % 20:
+            finish(self, exchange, answer)
+
+    monkeypatch.setattr(Host, "_finish", loses)
+    verdict = simulate(day(span=3), 1)
+    assert verdict.missing
+    assert not verdict.rules["1"]
+
+
+def test_the_audit_objects_to_a_doubled_answer(monkeypatch):
+    write = Front._write
+
+    def twice(self, connection, head, answer, keep):
+        write(self, connection, head, answer, keep)
+        return write(self, connection, head, answer, keep)
+
+    monkeypatch.setattr(Front, "_write", twice)
+    verdict = simulate(day(span=3), 1)
+    assert verdict.doubled
+    assert not verdict.rules["1"]
+
+
+def test_the_audit_objects_to_a_late_answer(monkeypatch):
+    write = Front._write
+
+    def late(self, connection, head, answer, keep):
+        self.loop.sleep(300_000 if answer.status == 503 else 0)
+        return write(self, connection, head, answer, keep)
+
+    monkeypatch.setattr(Front, "_write", late)
+    verdict = simulate(day(step(0, "node_faults", 0, 1, 2, 3, 4, 5, span=9, silent=0.3), span=4), 1)
+    assert verdict.late
+    assert not verdict.rules["1"]
+
+
+def test_the_audit_objects_to_an_effect_that_comes_twice(monkeypatch):
+    ended = Host.ended
+
+    def lies(self, exchange, attempt, server, outcome, took, report=(), answer=None):
+        if outcome is api.Outcome.BROKEN:
+            outcome = api.Outcome.NEVER_SENT
+        ended(self, exchange, attempt, server, outcome, took, report, answer)
+
+    monkeypatch.setattr(Host, "ended", lies)
+    monkeypatch.setattr(upstream, "why_not", lambda *_: None)
+    steps = step(0, "node_faults", 0, 1, 2, 3, 4, 5, span=9, reset_after=0.3)
+    verdict = simulate(day(steps, span=4), 1)
+    assert verdict.effects_twice
+    assert not verdict.rules["2"]
+
+
+def test_the_audit_objects_to_a_refusal_after_a_run(monkeypatch):
+    monkeypatch.setattr(
+        "orchidlane.gateway.host.failed", lambda: Answer(503, [(b"retry-after", b"1")], b"", kind="refused")
+    )
+    steps = step(0, "node_faults", 0, 1, 2, 3, 4, 5, span=9, reset_after=0.3)
+    assert not rules(day(steps, span=4))["2"]
+
+
+def test_the_audit_objects_to_work_for_a_draining_node(monkeypatch):
+    monkeypatch.setitem(nodelist.PHASES, "draining", api.Phase.READY)
+    monkeypatch.setattr(upstream, "why_not", lambda *_: None)
+    verdict = simulate(day(step(0.5, "drain_node", 0, 1, span=3), span=4), 1)
+    assert verdict.sent_after_drain
+    assert not verdict.rules["3"]
+
+
+def test_the_audit_objects_to_a_cold_node_pushed_over(monkeypatch):
+    monkeypatch.setattr(Gateway, "_is_warm", lambda self, host: True)
+    monkeypatch.setattr(Gateway, "_patience", lambda self, request: 1e12)
+    steps = step(0.5, "kill_node", 0, 1, 2, 3, 4, back=0.1)
+    verdict = simulate(day(steps, rate=500.0, customers=500, cores=1.0), 1)
+    assert verdict.fell_over
+    assert not verdict.rules["4"]
+
+
+def test_the_audit_objects_to_a_ceiling_passed(monkeypatch):
+    admits = Gateway._admits
+
+    def lets_all_in(self, request):
+        admits(self, request)
+        request.account.ceiling = max(request.account.ceiling, request.event.units)
+        return True
+
+    monkeypatch.setattr(Gateway, "_admits", lets_all_in)
+    verdict = simulate(day(customers=2, rate=120.0), 1)
+    assert verdict.ceiling_worst > 1
+    assert not verdict.rules["5"]
+
+
+def test_the_same_cold_day_unbroken_keeps_all_rules():
+    steps = step(0.5, "kill_node", 0, 1, 2, 3, 4, back=0.1)
+    verdict = simulate(day(steps, rate=500.0, customers=500, cores=1.0, span=4), 1)
+    assert verdict.rules == dict.fromkeys("12345", True), verdict.as_json()
--- /dev/null
+++ b/tests/test_loop.py
@@ -0,0 +1,299 @@
+"""The loop's contract, in both worlds where it can be."""
+
+from __future__ import annotations
+
+import resource
+
+import pytest
+
+from orchidlane.loop import (
+    BACKGROUND,
+    REQUESTS,
+    Cancelled,
+    Closed,
+    Expired,
+    Faults,
+    Loop,
+    NotConnected,
+    RealWorld,
+    Scope,
+    SimWorld,
+)
+from orchidlane.loop.timers import Timers
+
+MS, SECOND = 1_000, 1_000_000
+ANY = ("127.0.0.1", 0)
+
+
+@pytest.fixture(params=["real", "simulated"])
+def loop(request) -> Loop:
+    return Loop(RealWorld(1) if request.param == "real" else SimWorld(1, Faults(datagram_loss=0)))
+
+
+def play(loop: Loop, work) -> list:
+    log: list = []
+    loop.run(work, log)
+    return log
+
+
+def test_a_child_that_fails_ends_its_siblings_and_is_raised(loop):
+    def sibling(log):
+        try:
+            loop.sleep(100 * SECOND)
+        except Cancelled:
+            log.append("ended")
+            raise
+
+    def fails():
+        loop.sleep(MS)
+        raise ZeroDivisionError
+
+    def work(log):
+        with pytest.raises(ZeroDivisionError), Scope(loop) as scope:
+            scope.spawn(sibling, log)
+            scope.spawn(fails)
+            loop.sleep(100 * SECOND)
+
+    assert play(loop, work) == ["ended"]
+
+
+def test_no_child_outlives_its_scope(loop):
+    def child(log):
+        loop.sleep(5 * MS)
+        log.append("child")
+
+    def work(log):
+        with Scope(loop) as scope:
+            for _ in range(3):
+                scope.spawn(child, log)
+        log.append("after")
+
+    assert play(loop, work) == ["child"] * 3 + ["after"]
+
+
+def test_a_cancelled_task_cannot_wait_any_more(loop):
+    def child(log):
+        for _ in range(2):
+            try:
+                loop.sleep(SECOND)
+            except Cancelled:
+                log.append("cancelled")
+
+    def work(log):
+        with Scope(loop) as scope:
+            scope.spawn(child, log)
+            loop.sleep(MS)
+            scope.cancel()
+
+    assert play(loop, work) == ["cancelled"] * 2
+
+
+def test_an_expired_wait_leaves_nothing_behind(loop):
+    def work(log):
+        listener = loop.world.listen(ANY)
+        for _ in range(3):
+            with pytest.raises(Expired):
+                listener.accept(loop.now() + 5 * MS)
+        assert len(loop.timers) == 0
+        with Scope(loop) as scope:
+            scope.spawn(lambda: loop.world.connect(listener.address).send(b"x"))
+            log.append(listener.accept(loop.now() + SECOND).recv())
+
+    assert play(loop, work) == [b"x"]
+
+
+def test_a_busy_task_does_not_starve_others(loop):
+    def busy(log):
+        for _ in range(2_000):
+            loop.breathe()
+        log.append("busy")
+
+    def work(log):
+        with Scope(loop) as scope:
+            scope.spawn(busy, log, kind=REQUESTS)
+            scope.spawn(lambda: log.append("other"), kind=REQUESTS)
+
+    assert play(loop, work) == ["other", "busy"]
+
+
+def test_background_work_goes_on_beside_requests_and_does_not_hold_them_up(loop):
+    def endless(log, name, kind):
+        for _ in range(200):
+            loop.give_way()
+        log.append(name)
+
+    def work(log):
+        with Scope(loop) as scope:
+            for number in range(40):
+                scope.spawn(endless, log, f"b{number}", BACKGROUND, kind=BACKGROUND)
+            scope.spawn(endless, log, "request", REQUESTS, kind=REQUESTS)
+
+    log = play(loop, work)
+    assert log[0] == "request"
+    assert len(log) == 41
+
+
+def test_streams_keep_bytes_in_order_under_back_pressure(loop):
+    data = bytes(range(256)) * 4_000
+
+    def work(log):
+        listener = loop.world.listen(ANY)
+
+        def send():
+            stream = loop.world.connect(listener.address)
+            stream.send(data)
+            stream.close()
+
+        with Scope(loop) as scope:
+            scope.spawn(send)
+            stream, got = listener.accept(), b""
+            while piece := stream.recv(10_000):
+                got += piece
+                loop.give_way()
+            log.append(got == data)
+
+    assert play(loop, work) == [True]
+
+
+def test_a_reset_and_a_refusal_are_told_apart(loop):
+    def work(log):
+        listener = loop.world.listen(ANY)
+        stream = loop.world.connect(listener.address)
+        other = listener.accept()
+        other.abort()
+        with pytest.raises(Closed):
+            while True:
+                stream.recv(deadline=loop.now() + SECOND)
+        listener.close()
+        with pytest.raises(NotConnected):
+            loop.world.connect(listener.address, loop.now() + SECOND)
+
+    play(loop, work)
+
+
+def test_datagrams_come_with_their_sender(loop):
+    def work(log):
+        one, two = loop.world.datagrams(ANY), loop.world.datagrams(ANY)
+        one.send(b"hello", two.address)
+        log.append(two.recv(loop.now() + SECOND) == (b"hello", one.address))
+
+    assert play(loop, work) == [True]
+
+
+def test_files_are_replaced_whole(loop, tmp_path):
+    path = str(tmp_path / "f")
+
+    def work(log):
+        assert loop.world.read_file(path) is None
+        loop.world.write_file(path, b"one")
+        loop.world.append_file(path, b"two")
+        log.append(loop.world.read_file(path))
+
+    assert play(loop, work) == [b"onetwo"]
+
+
+def test_idle_descriptors_do_not_make_the_poll_spin():
+    loop = Loop(RealWorld(1))
+
+    def work(log):
+        listener = loop.world.listen(ANY)
+        streams = [loop.world.connect(listener.address) for _ in range(20)]
+        others = [listener.accept() for _ in range(20)]
+        for other in others:
+            other.send(b"unread")
+            other.close()
+        loop.sleep(20 * MS)
+        turns = loop.turns
+        loop.sleep(100 * MS)
+        log.append(loop.turns - turns)
+        assert [stream.recv() for stream in streams] == [b"unread"] * 20
+
+    assert play(loop, work)[0] < 40
+
+
+def test_out_of_descriptors_is_no_connection_and_no_crash():
+    loop = Loop(RealWorld(1))
+    soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
+
+    def work(log):
+        listener = loop.world.listen(ANY)
+        held = []
+        resource.setrlimit(resource.RLIMIT_NOFILE, (80, hard))
+        try:
+            with pytest.raises(NotConnected):
+                while True:
+                    held.append(loop.world.connect(listener.address, loop.now() + SECOND))
+            with pytest.raises(NotConnected):
+                listener.accept(loop.now() + SECOND)
+        finally:
+            resource.setrlimit(resource.RLIMIT_NOFILE, (soft, hard))
+            for stream in held:
+                stream.close()
+
+    play(loop, work)
+
+
+def test_a_process_that_stands_still_finds_everything_at_once():
+    world = SimWorld(1)
+    loop = Loop(world)
+    times = []
+
+    def ticks():
+        while True:
+            loop.sleep(100 * MS)
+            times.append(loop.now())
+
+    def work(log):
+        process = world.start("p", ticks)
+        loop.sleep(250 * MS)
+        loop.freeze(process)
+        loop.sleep(SECOND)
+        assert len(times) == 2
+        loop.thaw(process)
+        loop.sleep(MS)
+        assert len(times) == 3
+        world.kill(process)
+        loop.sleep(SECOND)
+        log.append(len(times))
+
+    assert play(loop, work) == [3]
+
+
+def test_the_same_seed_gives_the_same_world():
+    def trace(seed):
+        world = SimWorld(seed)
+        loop = Loop(world)
+        seen = []
+
+        def work(log):
+            listener = world.listen(ANY)
+
+            def client(number):
+                stream = world.connect(listener.address)
+                stream.send(b"%d" % number)
+
+            with Scope(loop) as scope:
+                for number in range(50):
+                    scope.spawn(client, number)
+                for _ in range(50):
+                    seen.append((listener.accept().recv(), loop.now()))
+
+        loop.run(work, [])
+        return seen
+
+    assert trace(3) == trace(3)
+    assert trace(3) != trace(4)
+
+
+def test_timers_fire_in_order_and_cancelled_ones_do_not_pile_up():
+    timers, fired = Timers(), []
+    kept = [timers.add(n * 7 % 1_000, fired.append, n) for n in range(1_000)]
+    for number, timer in enumerate(kept):
+        if number % 10:
+            timers.cancel(timer)
+            timers.cancel(timer)
+    assert len(timers) == 100
+    assert len(timers._heap) < 300
+    while due := timers.pop_due(10_000):
+        due[0](due[1])
+    assert fired == sorted((n for n in range(0, 1_000, 10)), key=lambda n: n * 7 % 1_000)
