--- /dev/null
+++ b/benchmarks/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements: run each as ``python -m benchmarks.NAME``."""
--- a/orchidlane/lab/backing.py
+++ b/orchidlane/lab/backing.py
@@ -88,6 +88,15 @@
     def freeze_node(self, name: str, still: bool) -> None:
         self._freeze(name, still)
 
+    def check(self) -> None:
+        """Nothing may be left behind once all is answered: what leaks makes a gateway refuse for ever."""
+        for rank, program in self.programs.items():
+            host = program.host
+            left = len(host.exchanges), len(host.runs), len(host.rules.requests), len(host.rules.attempts)
+            out = sum(known.out for known in host.rules.hosts.values())
+            if any((*left, out)) and not self.processes[f"gw-{rank}"].dead:
+                raise AssertionError(f"gw-{rank} left behind: {left}, {out} out")
+
     def end(self) -> None:
         for process in self.processes.values():
             if not process.dead:
@@ -170,6 +179,9 @@
     def freeze_node(self, name: str, still: bool) -> None:
         self._freeze(name, still)
 
+    def check(self) -> None:
+        """Only the sockets tell of processes."""
+
     def end(self) -> None:
         for process in self.processes.values():
             if process.poll() is None:
--- a/orchidlane/lab/clients.py
+++ b/orchidlane/lab/clients.py
@@ -55,6 +55,7 @@
     span: int
     record: Callable[[Record], None]
     tries: int = 3
+    impatient: float = 0.03  # of the tries: the client leaves before its answer and its time
     sent: int = 0
     idle: dict[int, list[tuple[Stream, http1.ResponseParser, str]]] = field(default_factory=dict)
 
@@ -89,7 +90,7 @@
     def _again(self, done: Try, kind: Kind) -> bool:
         if done.end == "unreachable" or (done.end == "answer" and done.harmless):
             return True
-        return kind.safe and (done.end != "answer" or done.status >= 500)
+        return kind.safe and done.end != "left" and (done.end != "answer" or done.status >= 500)
 
     def _gateway(self, subscriber: Subscriber) -> int:
         """The busiest of the set most often."""
@@ -126,17 +127,19 @@
             stream, parser = self._connection(rank, min(by, loop.now() + CONNECT))
         except (NotConnected, Expired):
             return loop.now(), "unreachable", 0, False, 0
-        end, status, harmless, extra, keep = "reset", 0, False, 0, False
+        end, status, harmless, extra, keep, leaves = "reset", 0, False, 0, False, False
         try:
             stream.send(self._bytes(request, name, subscriber, kind, by), by)
             parser.expect(kind.method)
-            head = self._answer(stream, parser, by + LISTEN_ON)
+            leaves = loop.world.random.random() < self.impatient
+            until = loop.world.random.randint(loop.now(), by) if leaves else by + LISTEN_ON
+            head = self._answer(stream, parser, until)
             end, status = "answer", head.status
             harmless = status in (429, 503)
             extra = parser.pending
             keep = head.keep_alive and not extra
         except Expired:
-            end = "silence"
+            end = "left" if leaves else "silence"
         except Closed as closed:
             end = "cut" if "within" in str(closed) else "reset"
         except Malformed:
--- a/orchidlane/lab/day.py
+++ b/orchidlane/lab/day.py
@@ -118,6 +118,9 @@
     def freeze_node(self, name: str, still: bool) -> None:
         """Have a node stand still, or go on."""
 
+    def check(self) -> None:
+        """Look for what was left behind once all is answered."""
+
     def end(self) -> None:
         """End all that runs."""
 
@@ -269,6 +272,7 @@
                 self.loop.sleep(day.span + SETTLE)
                 while self._busy(scope):
                     self.loop.sleep(100_000)
+                self.backing.check()
                 scope.cancel()
         finally:
             self.backing.end()
--- a/orchidlane/loop/scheduler.py
+++ b/orchidlane/loop/scheduler.py
@@ -3,7 +3,8 @@
 Contract of every wait (``park`` and all that is built on it):
 
 - it may take a deadline in microseconds of the loop's clock and then raises ``Expired``;
-- it raises ``Cancelled`` once the task is cancelled, and so does every wait after that;
+- it raises ``Cancelled`` once the task is cancelled, and so does every wait after that; a task that was
+  cancelled before it ran still begins, so that what it owes at its end is done;
 - what raised leaves nothing behind: no timer, no registration that could wake the task later.
 
 A turn polls the world, then runs the queues by class, each within its budget: control (the node list) before
@@ -44,7 +45,19 @@
 class Task:
     """One greenlet with its class of work, its owner and its process."""
 
-    __slots__ = ("cancelled", "done", "error", "kind", "name", "parked", "process", "run", "scope", "spent")
+    __slots__ = (
+        "cancelled",
+        "done",
+        "error",
+        "kind",
+        "name",
+        "parked",
+        "process",
+        "run",
+        "scope",
+        "spent",
+        "started",
+    )
 
     def __init__(self, run: greenlet.greenlet, kind: int, process: Process, scope: Scope | None, name: str):
         self.run = run
@@ -57,6 +70,7 @@
         self.done = False
         self.error: BaseException | None = None
         self.spent = 0
+        self.started = False
 
 
 class Loop:
@@ -118,8 +132,8 @@
         task = self.current
         assert task is not None
         try:
-            if not isinstance(start, BaseException):
-                work, args = start
+            work, args = start
+            if not task.process.dead:
                 work(*args)
         except Cancelled:
             pass
@@ -256,8 +270,9 @@
             return
         if task.done:
             return
-        if task.cancelled:
-            value = Cancelled()
+        if task.cancelled and task.started:
+            value = Cancelled()  # one that never ran begins all the same, and ends at its first wait
+        task.started = True
         self.current, self.process = task, process
         task.run.switch(value)
         self.current, self.process = None, self.home
@@ -301,7 +316,8 @@
             task.scope = None  # nobody is told: the owners die with it
             task.cancelled = True
             task.parked = False
-            self._queues[task.kind].append((task, None))  # to be ended there
+            if task.started:
+                self._queues[task.kind].append((task, None))  # to be ended there
         process.tasks.clear()
 
 
--- a/tests/test_loop.py
+++ b/tests/test_loop.py
@@ -88,6 +88,21 @@
     assert play(loop, work) == ["cancelled"] * 2
 
 
+def test_a_task_cancelled_before_it_ran_still_does_what_it_owes(loop):
+    def child(log):
+        try:
+            loop.sleep(SECOND)
+        finally:
+            log.append("told")
+
+    def work(log):
+        with Scope(loop) as scope:
+            scope.spawn(child, log)
+            scope.cancel()
+
+    assert play(loop, work) == ["told"]
+
+
 def test_an_expired_wait_leaves_nothing_behind(loop):
     def work(log):
         listener = loop.world.listen(ANY)
