--- a/orchidlane/cli/main.py
+++ b/orchidlane/cli/main.py
@@ -94,13 +94,24 @@
 @click.option("--world", type=click.Choice(["real", "simulated"]), default="real", show_default=True)
 @click.option("--json", "report", type=click.Path(dir_okay=False), help="Write the verdict to a file.")
 @click.option("--keep", type=click.Path(file_okay=False), help="Keep logs and records in this folder.")
-def day(script: str, seed: int, world: str, report: str | None, keep: str | None) -> None:
+@click.option("--bench-day", type=click.Path(dir_okay=False), help="Troubles from a day file of the bench.")
+def day(
+    script: str, seed: int, world: str, report: str | None, keep: str | None, bench_day: str | None
+) -> None:
     """Play a scripted day and audit it: exit 0 only when all five rules held."""
     from ..lab.backing import play, simulate
+    from ..lab.benchday import map_bench_day
     from ..lab.day import load_day
 
     with clear_errors():
         loaded = load_day(script)
+        if bench_day:
+            mapped = map_bench_day(Path(bench_day).read_bytes(), loaded)
+            loaded = mapped.day
+            for line in mapped.done:
+                click.echo(f"mapped  {line}", err=True)
+            for line in mapped.left:
+                click.echo(f"left    {line}", err=True)
     structlog.configure(wrapper_class=structlog.make_filtering_bound_logger(logging.CRITICAL))
     if keep:
         Path(keep).mkdir(parents=True, exist_ok=True)
--- a/orchidlane/cli/run.py
+++ b/orchidlane/cli/run.py
@@ -44,7 +44,7 @@
     def listen() -> None:
         while True:
             for number in stream.recv():
-                handlers[signal.Signals(number)]()
+                scope.spawn(handlers[signal.Signals(number)], kind=CONTROL, name="signal")
 
     with Scope(loop) as scope:
         scope.spawn(listen, kind=CONTROL, name="signals")
--- a/orchidlane/gateway/program.py
+++ b/orchidlane/gateway/program.py
@@ -144,11 +144,10 @@
         self.stopping = True
 
     def reload(self) -> None:
-        """Read description and customers anew; what can't be used changes nothing."""
+        """Read description and customers anew, beside the traffic; what can't be used changes nothing."""
+        world, number = self.loop.world, self.knowledge.generation.number + 1
         try:
-            fresh = read_knowledge(
-                self.loop.world, self.fleet, self.knowledge.generation.number + 1, self.log
-            )
+            fresh = world.aside(lambda: read_knowledge(world, self.fleet, number, self.log))
             if fresh.generation.classes != self.knowledge.generation.classes:
                 raise DescriptionError(
                     self.fleet.description, [("x-orchidlane", "other classes need a restart of the gateway")]
--- a/orchidlane/loop/real.py
+++ b/orchidlane/loop/real.py
@@ -8,8 +8,10 @@
 import random
 import select
 import socket
+import threading
 import time
-from typing import TYPE_CHECKING
+from collections.abc import Callable
+from typing import TYPE_CHECKING, Any
 
 from .errors import Closed, NotConnected
 from .world import Address
@@ -111,6 +113,28 @@
         sock.setblocking(False)
         return RealStream(self, sock, ("", 0))
 
+    def aside(self, work: Callable[[], Any]) -> Any:
+        ours, theirs = socket.socketpair()
+        found: list[Any] = []
+
+        def run() -> None:
+            try:
+                found.append((work(), None))
+            except BaseException as error:
+                found.append((None, error))
+            theirs.close()  # wakes the loop
+
+        stream = self.adopt(ours)
+        threading.Thread(target=run, name="aside", daemon=True).start()
+        try:
+            stream.recv()
+        finally:
+            stream.close()
+        value, error = found[0]
+        if error is not None:
+            raise error
+        return value
+
     def read_file(self, path: str) -> bytes | None:
         try:
             with open(path, "rb") as file:
--- a/orchidlane/loop/simulated.py
+++ b/orchidlane/loop/simulated.py
@@ -136,6 +136,9 @@
         self.sockets[address] = found = SimDatagrams(self, address)
         return found
 
+    def aside(self, work: Callable[[], Any]) -> Any:
+        return work()  # takes no virtual time
+
     # -- files
 
     def read_file(self, path: str) -> bytes | None:
--- a/orchidlane/loop/world.py
+++ b/orchidlane/loop/world.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import random
+from collections.abc import Callable
 from typing import TYPE_CHECKING, Any, Protocol
 
 if TYPE_CHECKING:
@@ -90,6 +91,9 @@
     def datagrams(self, at: Address) -> Datagrams:
         """Take datagrams at an address; port 0 picks a free one."""
 
+    def aside(self, work: Callable[[], Any]) -> Any:
+        """Run long work that does no I/O of the loop's beside it, and wait for its value or exception."""
+
     def read_file(self, path: str) -> bytes | None:
         """A whole file, or None where there is none."""
 
--- a/tests/test_loop.py
+++ b/tests/test_loop.py
@@ -207,6 +207,15 @@
     assert play(loop, work) == [b"onetwo"]
 
 
+def test_long_work_aside_does_not_hold_the_loop_up(loop):
+    def work(log):
+        log.append(loop.world.aside(lambda: sum(range(1_000))))
+        with pytest.raises(ZeroDivisionError):
+            loop.world.aside(lambda: 1 / 0)
+
+    assert play(loop, work) == [499_500]
+
+
 def test_idle_descriptors_do_not_make_the_poll_spin():
     loop = Loop(RealWorld(1))
 
