--- a/orchidlane/gateway/exchange.py
+++ b/orchidlane/gateway/exchange.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections import deque
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from .. import http1
 from .. import interface as api
@@ -11,6 +11,8 @@
 from ..routes import Generation, Match
 from .customers import Customer
 
+HINTS_MOST = 8  # interim answers that wait for a client at a time
+
 
 class Body:
     """A request's body as it comes: kept up to a bound for further attempts, beyond it passed on once.
@@ -177,6 +179,13 @@
     sends: int = 0
     first_left: int | None = None  # when the first attempt that may have run left us
     awaits_continue: bool = False  # the client holds its body back until 100 Continue
+    hints: list[http1.Response] = field(default_factory=list)  # interim answers not passed on yet
+
+    def hint(self, interim: http1.Response) -> None:
+        """An interim answer for the client; those beyond a few are left out."""
+        if self.answer is None and len(self.hints) < HINTS_MOST:
+            self.hints.append(interim)
+            self.body.loop.wake(self.task)
 
     @property
     def cls(self) -> api.RequestClass:
--- a/orchidlane/gateway/front.py
+++ b/orchidlane/gateway/front.py
@@ -70,7 +70,6 @@
 
     def _accept(self) -> None:
         while True:
-            self._make_room()
             try:
                 stream = self.listener.accept()
             except Closed:
@@ -79,12 +78,13 @@
                 self._evict()
                 self.loop.sleep(NO_DESCRIPTOR_WAIT)
                 continue
+            self._make_room()
             connection = Connection(stream, self.limits, self.loop.now())
             self.connections[connection] = None
             self.scope.spawn(self._client, connection, kind=REQUESTS, name="client")
 
     def _make_room(self) -> None:
-        """At the bound the client that is idle for longest goes; while all are busy, none is taken."""
+        """At the bound the client that is idle for longest goes; while all are busy, no more are taken."""
         while len(self.connections) >= self.fleet.bounds.connections:
             if not self._evict():
                 self.loop.sleep(NO_DESCRIPTOR_WAIT)
@@ -231,9 +231,18 @@
                 exchange.awaits_continue = False
                 connection.stream.send(b"HTTP/1.1 100 Continue\r\n\r\n")
                 continue
-            if not self._read_on(connection, exchange):
+            if exchange.hints:
+                self._pass_hints(connection, exchange)
+            elif not self._read_on(connection, exchange):
                 self._wait(exchange)
 
+    def _pass_hints(self, connection: Connection, exchange: Exchange) -> None:
+        """Interim answers of a node; HTTP/1.0 knows none."""
+        hints, exchange.hints = exchange.hints, []
+        for hint in hints if exchange.head.minor else ():
+            data = http1.response_head(hint.status, http1.end_to_end(hint.headers))
+            connection.stream.send(data, self.loop.now() + self.fleet.times.write)
+
     def _wait(self, exchange: Exchange) -> None:
         deadline = None if exchange.body.ended or exchange.body.full else self.fleet.times.body
         try:
--- a/orchidlane/gateway/metrics.py
+++ b/orchidlane/gateway/metrics.py
@@ -22,7 +22,7 @@
 
     def __init__(self) -> None:
         self.answers: Counter[tuple[str, str]] = Counter()
-        self.outcomes: Counter[api.Outcome] = Counter()
+        self.outcomes: Counter[str] = Counter()
         self.malformed = 0
         self.told = 0
         self.heard = 0
@@ -40,7 +40,7 @@
 
     def outcome(self, outcome: api.Outcome) -> None:
         """One attempt ended."""
-        self.outcomes[outcome] += 1
+        self.outcomes[outcome._value_] += 1  # hashing the member itself is slow
 
     def page(self) -> bytes:
         """All of it as text."""
@@ -53,7 +53,7 @@
             answers.add_metric([kind, class_name], count)
         attempts = CounterMetricFamily("orchidlane_attempts", "Attempts by outcome", labels=["outcome"])
         for outcome in api.Outcome:
-            attempts.add_metric([outcome.value.replace(" ", "_")], self.outcomes[outcome])
+            attempts.add_metric([outcome.value.replace(" ", "_")], self.outcomes[outcome.value])
         datagrams = CounterMetricFamily("orchidlane_datagrams", "Datagrams", labels=["way"])
         datagrams.add_metric(["told"], self.told)
         datagrams.add_metric(["heard"], self.heard)
--- a/orchidlane/gateway/upstream.py
+++ b/orchidlane/gateway/upstream.py
@@ -352,6 +352,8 @@
             assert isinstance(event, Response)
             if event.status >= 200:
                 return event
+            if event.status > 100:  # 100 is ours to say; others are the client's (RFC 9110 section 15.2)
+                self.exchange.hint(event)
 
     def _next(self, connection: Connection) -> http1.Event:
         parser, stream = connection.parser, connection.stream
--- a/orchidlane/loop/scheduler.py
+++ b/orchidlane/loop/scheduler.py
@@ -78,6 +78,7 @@
 
     def __init__(self, world: World) -> None:
         self.world = world
+        self.now = world.now  # microseconds; never goes backwards within a process
         self.timers = Timers()
         self.home = Process("home")
         self.process = self.home  # of the task or timer that runs now
@@ -91,10 +92,6 @@
 
     # -- the clock and timers
 
-    def now(self) -> int:
-        """Microseconds; never goes backwards within a process."""
-        return self.world.now()
-
     def call_at(self, when: int, call: Callable[[Any], None], argument: Any = None) -> Timer:
         """Have ``call(argument)`` made by the scheduler at ``when``; the call must not wait."""
         return self.timers.add(when, call, argument, self.process)
@@ -259,7 +256,9 @@
 
     def _run_queue(self, kind: int) -> None:
         queue = self._queues[kind]
-        for _ in range(min(len(queue), BUDGETS[kind])):
+        for _ in range(BUDGETS[kind]):  # those that become ready meanwhile, too: fewer polls for one request
+            if not queue:
+                return
             task, value = queue.popleft()
             self._resume(task, value)
 
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import resource
 import shutil
 import signal
 import socket
@@ -128,12 +129,17 @@
 class Process:
     """One gateway process and what it wrote."""
 
-    def __init__(self, folder: Path) -> None:
+    def __init__(self, folder: Path, descriptors: int | None = None) -> None:
         self.log = folder / "log"
         self.port, self.admin = map(int, (folder / "port").read_text().split())
         command = [sys.executable, "-m", "orchidlane", "gateway", str(folder / "fleet.cue")]
+
+        def limit() -> None:
+            if descriptors:
+                resource.setrlimit(resource.RLIMIT_NOFILE, (descriptors, descriptors))
+
         with open(self.log, "wb") as log:
-            self.process = subprocess.Popen(command, stderr=log, stdout=log)
+            self.process = subprocess.Popen(command, stderr=log, stdout=log, preexec_fn=limit)
 
     def until(self, event: str) -> str:
         for _ in range(600):
@@ -180,10 +186,23 @@
     gateway.until("ended")
 
 
-def test_thousands_of_idle_connections_leave_room_for_a_request(gateway):
-    held = [socket.create_connection(("127.0.0.1", gateway.port)) for _ in range(3_000)]
+def test_ten_thousand_idle_connections_leave_room_for_a_request(gateway):
+    count = min(10_000, resource.getrlimit(resource.RLIMIT_NOFILE)[0] - 500) - 1
+    held = [socket.create_connection(("127.0.0.1", gateway.port)) for _ in range(count)]
     assert gateway.get(gateway.port, "/v1/nothing").startswith(b"HTTP/1.1 404 ")
     page = gateway.get(gateway.admin, "/metrics").decode()
-    assert "orchidlane_connections 3000.0" in page
+    assert f"orchidlane_connections {count}.0" in page
     for sock in held:
         sock.close()
+
+
+def test_at_the_limit_of_descriptors_idle_clients_make_room(folder):
+    gateway = Process(folder, descriptors=100)
+    gateway.until("started")
+    held = [socket.create_connection(("127.0.0.1", gateway.port)) for _ in range(150)]
+    for _ in range(5):
+        assert gateway.get(gateway.port, "/v1/nothing").startswith(b"HTTP/1.1 404 ")
+    for sock in held:
+        sock.close()
+    gateway.process.terminate()
+    assert gateway.process.wait(10) == 0
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -348,6 +348,22 @@
     run(good, test=test, plans=TIGHT)
 
 
+def test_interim_answers_of_a_node_are_passed_on():
+    def hints(house, index, stream):
+        house.read_request(index, stream)
+        stream.send(b"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\n")
+        house.loop.sleep(10 * MS)
+        stream.send(OK)
+
+    def test(house):
+        stream = house.connect()
+        stream.send(GET)
+        assert stream.recv() == b"HTTP/1.1 103 Early Hints\r\nlink: a\r\n\r\n"
+        assert house.answer(stream)[0] == 200
+
+    run(hints, test=test)
+
+
 @pytest.mark.parametrize(
     ("first", "status"),
     [
@@ -386,7 +402,7 @@
     def test(house):
         streams = [house.connect() for _ in range(12)]
         house.loop.sleep(SECOND)
-        assert len(house.program.front.connections) <= 10
+        assert len(house.program.front.connections) == 10
         assert house.ask(GET)[0] == 200
         assert streams[0].try_recv() == b""
 
