A second front: RESP commands for limits on the same counts, with tokens and reservations

Services behind other doors ask for quota without sending their request. A take with a token counts at most once over the fleet: three holders, a majority of fresh claims, holders that restarted stay unsure for a token's life. What comes back is a credit of the gateway that granted it. redis-py with RESP2 and RESP3, with and without hiredis, and its asyncio client run against the front.

--- a/benchmarks/gateway.py
+++ b/benchmarks/gateway.py
@@ -89,7 +89,7 @@
         f'gateways: [{{name: "gw-0", listen: "127.0.0.1:{gateway}", peer: "127.0.0.1:{peer}"}}]\n'
         "plans: wide: {rate: 1000000, burst: 2000000}\n"
         f'nodes: {{list: "127.0.0.1:{node_list}"}}\npeers: secret_file: "secret"\n'
-        "bounds: node_connections: 1024\ntimes: {}\n"
+        "bounds: node_connections: 1024\ntimes: {}\nlimits: {}\n"
     )
     return folder / "fleet.cue"
 
--- a/examples/materials/fleet.cue
+++ b/examples/materials/fleet.cue
@@ -6,9 +6,9 @@
 state:       ""
 
 gateways: [
-	{name: "gw-0", listen: "127.0.0.1:8080", peer: "127.0.0.1:8180", admin: "127.0.0.1:8280", zone: "hall-1"},
-	{name: "gw-1", listen: "127.0.0.1:8081", peer: "127.0.0.1:8181", admin: "127.0.0.1:8281", zone: "hall-1"},
-	{name: "gw-2", listen: "127.0.0.1:8082", peer: "127.0.0.1:8182", admin: "127.0.0.1:8282", zone: "hall-1"},
+	{name: "gw-0", listen: "127.0.0.1:8080", peer: "127.0.0.1:8180", admin: "127.0.0.1:8280", resp: "127.0.0.1:8380", zone: "hall-1"},
+	{name: "gw-1", listen: "127.0.0.1:8081", peer: "127.0.0.1:8181", admin: "127.0.0.1:8281", resp: "127.0.0.1:8381", zone: "hall-1"},
+	{name: "gw-2", listen: "127.0.0.1:8082", peer: "127.0.0.1:8182", admin: "127.0.0.1:8282", resp: "127.0.0.1:8382", zone: "hall-1"},
 ]
 
 plans: basico: {rate: 4, burst: 12}
@@ -25,3 +25,4 @@
 peers: secret_file: "secret"
 bounds: {}
 times: {}
+limits: {}
--- a/orchidlane/gateway/customers.py
+++ b/orchidlane/gateway/customers.py
@@ -46,8 +46,9 @@
 class Customers:
     """Customers by the digest of their keys."""
 
-    def __init__(self, by_digest: dict[bytes, Customer]) -> None:
+    def __init__(self, by_digest: dict[bytes, Customer], by_name: dict[bytes, Customer]) -> None:
         self._by_digest = by_digest
+        self._by_name = by_name
 
     def __len__(self) -> int:
         return len(self._by_digest)
@@ -56,6 +57,10 @@
         """The customer of a key as it came with a request."""
         return self._by_digest.get(hashlib.sha256(key).digest())
 
+    def named(self, name: bytes) -> Customer | None:
+        """The customer of a name or, failing that, of a key."""
+        return self._by_name.get(name) or self.of_key(name)
+
 
 def load_customers(text: bytes, file: str, fleet: Fleet) -> Customers:
     """The customers of a file. Raises CustomersError."""
@@ -66,6 +71,7 @@
     if len(entries) > fleet.bounds.customers:
         raise CustomersError(f"{file}: {len(entries)} customers, allowed: {fleet.bounds.customers}")
     found: dict[bytes, Customer] = {}
+    names: dict[bytes, Customer] = {}
     numbers: set[int] = set()
     plans = list(fleet.plans)
     for index, entry in enumerate(entries):
@@ -76,12 +82,14 @@
             raise CustomersError(f"{place}.plan: found {entry.plan!r}, allowed: {', '.join(plans)}")
         numbers.add(entry.id)
         customer = make_customer(entry, fleet, plans)
+        if entry.name and names.setdefault(entry.name.encode(), customer) is not customer:
+            raise CustomersError(f"{place}.name: another customer has it")
         for key in entry.keys:
             digest = _digest(key, place)
             if digest in found:
                 raise CustomersError(f"{place}.keys: a key that another customer has")
             found[digest] = customer
-    return Customers(found)
+    return Customers(found, names)
 
 
 def make_customer(entry: CustomerEntry, fleet: Fleet, plans: list[str]) -> Customer:
--- a/orchidlane/gateway/front.py
+++ b/orchidlane/gateway/front.py
@@ -23,7 +23,7 @@
 
 if TYPE_CHECKING:
     from .host import Host
-    from .program import Knowledge
+    from .knowledge import Knowledge
 
 NO_DESCRIPTOR_WAIT = 20_000  # microseconds between two tries to accept without descriptors
 LINGER_MOST = 262_144  # bytes read on after an answer within a body
--- a/orchidlane/gateway/host.py
+++ b/orchidlane/gateway/host.py
@@ -9,6 +9,7 @@
 from ..loop import Loop
 from ..rules import Gateway
 from .answers import failed, refused
+from .customers import Customer
 from .exchange import Answer, Exchange
 from .metrics import Metrics
 
@@ -41,6 +42,7 @@
         self.rules = Gateway(settings, loop.world.random.getrandbits(64), loop.now())
         self._numbers = 0
         self._feeding = False
+        self._granted: bool | None = None  # the answer to the take that is being fed
 
     def start(self) -> None:
         """The module's first actions."""
@@ -60,6 +62,17 @@
         self._numbers += 1
         return self._numbers
 
+    def take(self, customer: Customer, units: float, kind: int) -> bool:
+        """Ask for units without a node; the module answers at once."""
+        number = self.next_number()
+        taken = api.TakeArrived(
+            number, customer.number, customer.plan, kind, units, customer.set_first, customer.set_size
+        )
+        self._granted = None
+        self.feed(taken)
+        assert self._granted is not None, "a take without an answer"
+        return self._granted
+
     # -- a request's events
 
     def arrived(self, exchange: Exchange, time_left: int) -> None:
@@ -123,7 +136,10 @@
                     self.loop.call_at(self.loop.now() + action.span, self._fired, action.token)
                 case api.TellPeer():
                     self.tell(action.peer, action.body)
+                case api.Grant():
+                    self._granted = True
                 case api.Refuse():
+                    self._granted = False
                     self._answer(action.request, refused(action))
                 case api.Fail():
                     self._answer(action.request, failed())
--- a/orchidlane/gateway/program.py
+++ b/orchidlane/gateway/program.py
@@ -2,24 +2,22 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
-from typing import Any
-
 import structlog
 
 from .. import http1
 from .. import interface as api
 from ..http1 import Malformed, Request
 from ..loop import BACKGROUND, CONTROL, PEERS, Closed, Expired, Loop, Scope, Stream
-from ..loop.world import Datagrams, World
-from ..routes import DescriptionError, Generation, build, load_description
-from .customers import Customers, load_customers
-from .datagram import SIZE_MOST, Inbox, seal
-from .exchange import Answer, Exchange
+from ..loop.world import Datagrams
+from ..routes import DescriptionError
+from .datagram import LIMITS, MODULE, SIZE_MOST, Inbox, seal
 from .front import Front
 from .host import Host
+from .knowledge import Knowledge, read_knowledge
+from .limits import LimitService
 from .metrics import Metrics
 from .nodelist import ListTracker
+from .respfront import RespFront
 from .settings import Fleet, address, module_settings
 from .upstream import Upstream
 from .watch import Watch
@@ -28,46 +26,6 @@
 ADMIN_PATIENCE = 5_000_000  # microseconds
 
 
-@dataclass
-class Knowledge:
-    """What requests are understood by: replaced as a whole, never changed in place."""
-
-    generation: Generation
-    customers: Customers
-    log: Any
-    log_requests: bool
-
-    def log_answer(self, exchange: Exchange, answer: Answer, span: int) -> None:
-        """One line for a request, if the settings ask for it; never a key, target or body."""
-        if self.log_requests:
-            operation = exchange.match.operation
-            self.log.info(
-                "answered",
-                request=exchange.number,
-                customer=exchange.customer.number,
-                operation=operation.name,
-                kind=answer.kind,
-                status=answer.status,
-                attempts=exchange.sends,
-                ms=span / 1_000,
-            )
-
-
-def read_knowledge(world: World, fleet: Fleet, number: int, log: Any) -> Knowledge:
-    """Description and customers as the files say now. Raises DescriptionError, CustomersError, OSError."""
-    text = _read(world, fleet.description)
-    generation = build(load_description(text, fleet.description), fleet.description, number)
-    customers = load_customers(_read(world, fleet.customers), fleet.customers, fleet)
-    return Knowledge(generation, customers, log, fleet.log_requests)
-
-
-def _read(world: World, path: str) -> bytes:
-    data = world.read_file(path)
-    if data is None:
-        raise FileNotFoundError(f"{path}: no such file")
-    return data
-
-
 class Program:
     """One gateway. ``run`` is its main task; ``stop`` and ``reload`` may be called from signals' tasks."""
 
@@ -108,6 +66,8 @@
             if self.entry.admin:
                 self._listen_admin(scope)
             self.front.listen(listener)
+            if self.entry.resp:
+                self.resp.listen(world.listen(address(self.entry.resp)))
             self.ready = True
             self.log.info("started", listen=self.entry.listen, rank=self.rank)
             self._until_drained()
@@ -117,7 +77,8 @@
 
     def _build(self, scope: Scope) -> None:
         settings = module_settings(self.fleet, self.rank, self.knowledge.generation)
-        self.inbox = Inbox(self.secret, self.rank, len(self.peers), self.fleet.peers.intake, self.loop.now())
+        intakes = self.fleet.peers.intake, self.fleet.limits.intake
+        self.inbox = Inbox(self.secret, self.rank, len(self.peers), self.loop.now(), *intakes)
         upstream = Upstream(self.loop, self.fleet, self.entry.name, scope, self.tracker)
         self.host = upstream.host = Host(self.loop, settings, self.metrics, upstream.begin, self._tell)
         self.front = Front(self.loop, self.fleet, self.host, self.knowledge, scope)
@@ -127,6 +88,8 @@
             "nodes": ("Nodes on the list", lambda: len(self.tracker.nodes)),
             "longest_turn_seconds": ("Longest turn of the loop", lambda: self.loop.longest_turn / 1e6),
         }
+        self.limits = LimitService(self.loop, self.fleet, self.rank, self.host, self._tell_limits, scope)
+        self.resp = RespFront(self.loop, self.fleet, self.limits, lambda: self.knowledge, scope)
         cache = f"{self.fleet.state}/{self.entry.name}.nodes.json" if self.fleet.state else ""
         self.watch = Watch(self.loop, self.fleet, self.tracker, self.entry.name, cache, self._listed)
 
@@ -135,8 +98,10 @@
         while not self.stopping:
             self.loop.sleep(5 * DRAIN_LOOK)
         self.front.drain()
+        if self.entry.resp:
+            self.resp.drain()
         by = self.loop.now() + self.fleet.times.drain
-        while self.front.connections and self.loop.now() < by:
+        while (self.front.connections or self.resp.sessions) and self.loop.now() < by:
             self.loop.sleep(DRAIN_LOOK)
 
     def stop(self) -> None:
@@ -163,10 +128,13 @@
     def _listed(self, listed: api.ServerListed) -> None:
         self.host.feed(listed)
 
-    def _tell(self, rank: int, body: bytes) -> None:
+    def _tell_limits(self, rank: int, body: bytes) -> None:
+        self._tell(rank, body, LIMITS)
+
+    def _tell(self, rank: int, body: bytes, kind: int = MODULE) -> None:
         self.sequence += 1
         self.metrics.told += 1
-        sealed = seal(self.secret, self.rank, rank, self.incarnation, self.sequence, body)
+        sealed = seal(self.secret, self.rank, rank, self.incarnation, self.sequence, body, kind)
         self.datagrams.send(sealed, self.peers[rank])
 
     def _hear(self) -> None:
@@ -175,7 +143,11 @@
             taken = self.inbox.take(self.loop.now(), data[: SIZE_MOST + 1])
             if taken is not None:
                 self.metrics.heard += 1
-                self.host.feed(api.PeerMessage(*taken))
+                kind, sender, body = taken
+                if kind == MODULE:
+                    self.host.feed(api.PeerMessage(sender, body))
+                else:
+                    self.limits.hear(sender, body)
 
     # -- health and metrics
 
--- /dev/null
+++ b/orchidlane/gateway/respfront.py
@@ -0,0 +1,406 @@
+"""The RESP front: commands for limits on the same customers, counts and rules as the HTTP front.
+ A connection's commands are answered in their order. Replies gather until nothing more was sent along or a
+bound is reached; a client that reads nothing is not read from either, and closed after ``times.write``.
+Each command gives others their turn, so a long pipeline holds nobody up.
+"""
+
+from __future__ import annotations
+
+import hashlib
+import hmac
+from collections.abc import Callable
+from typing import Any
+
+from .. import resp
+from ..limits import LedgerError, Outcome
+from ..loop import REQUESTS, Closed, Expired, Listener, Loop, NotConnected, Scope, Stream
+from ..resp import ErrorReply, Simple
+from ..routes import Generation
+from .customers import Customer
+from .knowledge import Knowledge
+from .limits import LimitService, NoAnswer
+from .settings import Fleet
+
+FLUSH = 16_384  # bytes of replies that are written at once
+TOKEN_MOST = 256  # bytes
+NO_DESCRIPTOR_WAIT = 20_000  # microseconds
+OK = Simple("OK")
+
+
+class CommandError(Exception):
+    """A command that can't be carried out; its text is the error reply."""
+
+
+class Session:
+    """One client: its protocol version, name, and whether it has shown its password."""
+
+    __slots__ = ("authorized", "decoder", "name", "number", "stream", "version")
+
+    def __init__(self, stream: Stream, number: int, limits: resp.Limits, authorized: bool) -> None:
+        self.stream = stream
+        self.number = number
+        self.decoder = resp.Decoder(limits)
+        self.version = 2
+        self.name = b""
+        self.authorized = authorized
+
+
+class RespFront:
+    """Accepts clients and carries out their commands."""
+
+    def __init__(
+        self,
+        loop: Loop,
+        fleet: Fleet,
+        service: LimitService,
+        knowledge: Callable[[], Knowledge],
+        scope: Scope,
+    ) -> None:
+        self.loop = loop
+        self.fleet = fleet
+        self.terms = fleet.limits
+        self.service = service
+        self.knowledge = knowledge
+        self.scope = scope
+        self.limits = resp.Limits(
+            bulk=self.terms.bulk, count=self.terms.items, total=self.terms.items, depth=4
+        )
+        self.sessions: dict[Session, None] = {}
+        self.draining = False
+        self.listener: Listener
+        self._numbers = 0
+        self.commands: dict[bytes, tuple[Callable[[Session, list[bytes]], Any], int, int]] = {
+            b"PING": (self._ping, 0, 1),
+            b"ECHO": (lambda _, words: words[0], 1, 1),
+            b"AUTH": (self._auth, 1, 2),
+            b"HELLO": (self._hello, 0, 7),
+            b"QUIT": (lambda *_: OK, 0, 0),
+            b"RESET": (self._reset, 0, 0),
+            b"SELECT": (self._select, 1, 1),
+            b"CLIENT": (self._client_command, 1, 8),
+            b"COMMAND": (self._command, 0, 64),
+            b"CL.THROTTLE": (self._throttle, 4, 5),
+            b"LIMIT.TAKE": (self._take, 2, 8),
+            b"LIMIT.PEEK": (self._peek, 1, 1),
+            b"LIMIT.GIVEBACK": (self._give_back, 2, 2),
+            b"LIMIT.RESERVE": (self._reserve, 4, 4),
+            b"LIMIT.COMMIT": (lambda s, words: self._end(words, True), 2, 2),
+            b"LIMIT.RELEASE": (lambda s, words: self._end(words, False), 2, 2),
+            b"LIMIT.INFO": (self._info, 0, 0),
+        }
+
+    @property
+    def generation(self) -> Generation:
+        """The description as it is now."""
+        return self.knowledge().generation
+
+    # -- connections
+
+    def listen(self, listener: Listener) -> None:
+        """Take clients from a listener."""
+        self.listener = listener
+        self.scope.spawn(self._accept, kind=REQUESTS, name="accept resp")
+
+    def _accept(self) -> None:
+        while True:
+            try:
+                stream = self.listener.accept()
+            except Closed:
+                return
+            except NotConnected:
+                self.loop.sleep(NO_DESCRIPTOR_WAIT)
+                continue
+            self._numbers += 1
+            if len(self.sessions) >= self.terms.connections:
+                self.scope.spawn(self._turn_away, stream, kind=REQUESTS, name="resp turned away")
+                continue
+            session = Session(stream, self._numbers, self.limits, not self.terms.passwords)
+            self.sessions[session] = None
+            self.scope.spawn(self._client, session, kind=REQUESTS, name="resp client")
+
+    def _turn_away(self, stream: Stream) -> None:
+        try:
+            reply = ErrorReply("ERR max number of clients reached")
+            stream.send(resp.encode(reply), self.loop.now() + self.fleet.times.write)
+        except (Closed, Expired):
+            pass
+        finally:
+            stream.close()
+
+    def drain(self) -> None:
+        """Take no more clients; those that wait for nothing are closed."""
+        self.draining = True
+        self.listener.close()
+        for session in list(self.sessions):
+            if not session.decoder.pending:
+                session.stream.close()
+
+    def _client(self, session: Session) -> None:
+        try:
+            while self._more(session):
+                self._answer_all(session)
+        except (Closed, Expired):
+            pass
+        finally:
+            self.sessions.pop(session, None)
+            session.stream.close()
+
+    def _more(self, session: Session) -> bool:
+        """Read once: long for a new command, shorter for the rest of one."""
+        times = self.fleet.times
+        span = times.body if session.decoder.pending else times.idle
+        data = session.stream.recv(deadline=self.loop.now() + span)
+        session.decoder.receive(data)
+        return bool(data)
+
+    def _answer_all(self, session: Session) -> None:
+        out = bytearray()
+        try:
+            while (words := session.decoder.next_command()) is not None:
+                if not words:
+                    continue
+                out += resp.encode(self._reply(session, words), session.version)
+                quits = words[0].upper() == b"QUIT"
+                if len(out) >= FLUSH or quits:
+                    self._write(session, out)
+                if quits:
+                    raise Closed("the client quit")
+                self.loop.breathe()
+        except resp.Broken as wrong:
+            out += resp.encode(ErrorReply(f"ERR Protocol error: {wrong}"))
+            self._write(session, out)
+            raise Closed("out of step") from None
+        self._write(session, out)
+        if self.draining:
+            raise Closed("draining")
+
+    def _write(self, session: Session, out: bytearray) -> None:
+        if out:
+            session.stream.send(bytes(out), self.loop.now() + self.fleet.times.write)
+            out.clear()
+
+    # -- commands
+
+    def _reply(self, session: Session, words: list[bytes]) -> Any:
+        name = words[0].upper()
+        found = self.commands.get(name)
+        if found is None:
+            return ErrorReply(f"ERR unknown command '{_plain(words[0])}'")
+        method, least, most = found
+        if not least <= len(words) - 1 <= most:
+            return ErrorReply(f"ERR wrong number of arguments for '{_plain(name).lower()}' command")
+        if not session.authorized and name not in (b"AUTH", b"HELLO", b"QUIT", b"RESET"):
+            return ErrorReply("NOAUTH Authentication required.")
+        try:
+            return method(session, words[1:])
+        except CommandError as wrong:
+            return ErrorReply(str(wrong))
+        except NoAnswer as wrong:
+            return ErrorReply(f"TRYAGAIN {wrong}; nothing was counted by this command")
+        except LedgerError as wrong:
+            return ErrorReply(f"BUSY {wrong}")
+
+    def _ping(self, _session: Session, words: list[bytes]) -> Any:
+        return words[0] if words else Simple("PONG")
+
+    def _auth(self, session: Session, words: list[bytes]) -> Any:
+        if not self.terms.passwords:
+            raise CommandError("ERR AUTH called without any password configured")
+        shown = hashlib.sha256(words[-1]).hexdigest()
+        if len(words) == 2 and words[0] != b"default":
+            raise CommandError("WRONGPASS invalid username-password pair")
+        matches = sum(hmac.compare_digest(shown, known) for known in self.terms.passwords)
+        if not matches:
+            raise CommandError("WRONGPASS invalid username-password pair")
+        session.authorized = True
+        return OK
+
+    def _hello(self, session: Session, words: list[bytes]) -> Any:
+        version = session.version
+        if words:
+            if words[0] not in (b"2", b"3"):
+                raise CommandError("NOPROTO unsupported protocol version")
+            version = int(words[0])
+        rest = list(words[1:])
+        while rest:
+            option = rest.pop(0).upper()
+            if option == b"AUTH" and len(rest) >= 2:
+                self._auth(session, [rest.pop(0), rest.pop(0)])
+            elif option == b"SETNAME" and rest:
+                session.name = rest.pop(0)
+            else:
+                raise CommandError("ERR syntax error in HELLO")
+        if not session.authorized:
+            raise CommandError("NOAUTH HELLO must be called with the client already authenticated")
+        session.version = version
+        facts = {"server": "orchidlane", "version": "7.0.0", "proto": version, "id": session.number}
+        return {**facts, "mode": "standalone", "role": "master", "modules": []}
+
+    def _reset(self, session: Session, _words: list[bytes]) -> Any:
+        session.version, session.name = 2, b""
+        session.authorized = not self.terms.passwords
+        return Simple("RESET")
+
+    def _select(self, _session: Session, words: list[bytes]) -> Any:
+        if words[0] != b"0":
+            raise CommandError("ERR DB index is out of range")
+        return OK
+
+    def _client_command(self, session: Session, words: list[bytes]) -> Any:
+        what = words[0].upper()
+        if what == b"SETNAME" and len(words) == 2:
+            session.name = words[1]
+        elif what == b"GETNAME":
+            return session.name or None
+        elif what == b"ID":
+            return session.number
+        elif what not in (b"SETINFO", b"NO-EVICT", b"NO-TOUCH", b"TRACKING", b"MAINT_NOTIFICATIONS"):
+            raise CommandError(f"ERR unknown subcommand '{_plain(words[0])}'")
+        elif what == b"MAINT_NOTIFICATIONS":
+            raise CommandError("ERR maintenance notifications are not sent here")
+        return OK
+
+    def _command(self, _session: Session, words: list[bytes]) -> Any:
+        what = words[0].upper() if words else b""
+        if what == b"COUNT":
+            return len(self.commands)
+        if what == b"DOCS":
+            return {
+                name.decode().lower(): {"summary": "See docs/resp.md"} for name in self._chosen(words[1:])
+            }
+        if what in (b"", b"INFO"):
+            return [self._describe(name) for name in self._chosen(words[1:])]
+        raise CommandError(f"ERR unknown subcommand '{_plain(words[0])}'")
+
+    def _chosen(self, words: list[bytes]) -> list[bytes]:
+        return [word.upper() for word in words if word.upper() in self.commands] or list(self.commands)
+
+    def _describe(self, name: bytes) -> list[Any]:
+        _, least, most = self.commands[name]
+        arity = least + 1 if least == most else -(least + 1)
+        keyed = name.startswith((b"CL.", b"LIMIT.")) and name != b"LIMIT.INFO"
+        return [name.decode().lower(), arity, [Simple("fast")], int(keyed), int(keyed), int(keyed)]
+
+    # -- limits
+
+    def _customer(self, key: bytes) -> Customer:
+        customer = self.knowledge().customers.named(key)
+        if customer is None:
+            raise CommandError("NOCUSTOMER no customer has this name or key")
+        return customer
+
+    def _throttle(self, _session: Session, words: list[bytes]) -> Any:
+        """CL.THROTTLE key max_burst count period [quantity]: limited, limit, remaining, retry, reset."""
+        customer = self._customer(words[0])
+        plan = self.service.host.settings.plans[customer.plan]
+        max_burst, count, period = (_number(word, "max_burst, count and period") for word in words[1:4])
+        quantity = _number(words[4], "quantity") if len(words) > 4 else 1
+        if period == 0 or abs(count / period - plan.rate) > 1e-9 or max_burst + 1 != int(plan.burst):
+            allowed = f"max_burst {int(plan.burst) - 1}, count/period {plan.rate:g}"
+            raise CommandError(f"ERR the plan {customer.plan_name} decides: {allowed}")
+        granted = quantity == 0 or self.service.take(customer, float(quantity), 0)
+        room = self.service.room(customer)
+        reset = int((plan.burst - room) / plan.rate) if plan.rate else 0
+        retry = -1 if granted else max(1, -(-self.service.wait_for(customer, quantity) // 1_000_000))
+        return [int(not granted), int(plan.burst), max(0, int(room)), retry, max(0, reset)]
+
+    def _take(self, _session: Session, words: list[bytes]) -> Any:
+        """LIMIT.TAKE key units [CLASS c] [WITHIN ms] [IDEMPOTENT token]: granted, remaining, retry in ms."""
+        customer, units = self._customer(words[0]), _units(words[1])
+        options = _options(words[2:], (b"CLASS", b"WITHIN", b"IDEMPOTENT"))
+        kind = self._class(options.get(b"CLASS"))
+        span = self._span(options.get(b"WITHIN"), "WITHIN", self.terms.within_most)
+        token = options.get(b"IDEMPOTENT")
+        if token is None:
+            granted = self.service.take_within(customer, units, kind, span)
+        else:
+            granted = self.service.take_once(customer, units, kind, span, _token(token))
+        room = self.service.room(customer)
+        retry = 0 if granted else max(1, self.service.wait_for(customer, units) // 1_000)
+        return [int(granted), max(0, int(room)), retry]
+
+    def _class(self, name: bytes | None) -> int:
+        if name is None:
+            return 0
+        names = self.generation.class_names
+        if name.decode("utf-8", "replace") not in names:
+            raise CommandError(f"ERR no such class, allowed: {', '.join(names)}")
+        return names.index(name.decode())
+
+    def _span(self, text: bytes | None, what: str, most: int) -> int:
+        span = _number(text, what) * 1_000 if text is not None else 0
+        if span > most:
+            raise CommandError(f"ERR {what} is at most {most // 1_000} ms")
+        return span
+
+    def _peek(self, _session: Session, words: list[bytes]) -> Any:
+        customer = self._customer(words[0])
+        plan = self.service.host.settings.plans[customer.plan]
+        facts = {"plan": customer.plan_name, "remaining": max(0, int(self.service.room(customer)))}
+        credit = self.service.ledger.credit(self.loop.now(), customer.number)
+        return {**facts, "burst": int(plan.burst), "rate": plan.rate, "credit": credit}
+
+    def _give_back(self, _session: Session, words: list[bytes]) -> Any:
+        return self._told(self.service.give_back(self._customer(words[0]), _token(words[1])))
+
+    def _reserve(self, _session: Session, words: list[bytes]) -> Any:
+        """LIMIT.RESERVE key units FOR ms: the reservation's name, or null beyond the quota."""
+        customer, units = self._customer(words[0]), _units(words[1])
+        if words[2].upper() != b"FOR":
+            raise CommandError("ERR syntax error, allowed: LIMIT.RESERVE key units FOR ms")
+        span = self._span(words[3], "FOR", self.terms.reserve_most)
+        if not span:
+            raise CommandError("ERR FOR is at least 1 ms")
+        return self.service.reserve(customer, units, 0, span)
+
+    def _end(self, words: list[bytes], commit: bool) -> Any:
+        return self._told(self.service.end_reservation(self._customer(words[0]), words[1], commit))
+
+    def _told(self, outcome: Outcome) -> int:
+        """1 done now, 0 done before; errors for the rest."""
+        if outcome is Outcome.EXPIRED:
+            raise CommandError("EXPIRED its time was over; a reservation's units came back by themselves")
+        if outcome is Outcome.UNKNOWN:
+            raise CommandError("NOGRANT nothing such is remembered: it never was, or too long ago")
+        return int(outcome is Outcome.DONE)
+
+    def _info(self, _session: Session, _words: list[bytes]) -> Any:
+        service = self.service
+        facts = {"rank": service.rank, "gateways": service.gateways, "clients": len(self.sessions)}
+        facts |= {"granted": service.granted, "refused": service.refused}
+        return {**facts, "tokens": len(service.holder), "grants": len(service.ledger)}
+
+
+def _plain(word: bytes) -> str:
+    """A client's word as it may stand in an error: short and printable."""
+    return "".join(c if c.isprintable() else "?" for c in word[:64].decode("utf-8", "replace"))
+
+
+def _number(text: bytes, what: str) -> int:
+    if not text.isdigit() or len(text) > 12:
+        raise CommandError(f"ERR {what}: a whole number is wanted")
+    return int(text)
+
+
+def _units(text: bytes) -> float:
+    units = _number(text, "units")
+    if not 0 < units <= 1_000_000:
+        raise CommandError("ERR units: found none, allowed: 1 to 1000000")
+    return float(units)
+
+
+def _token(token: bytes) -> bytes:
+    if not 0 < len(token) <= TOKEN_MOST:
+        raise CommandError(f"ERR a token has 1 to {TOKEN_MOST} bytes")
+    return token
+
+
+def _options(words: list[bytes], allowed: tuple[bytes, ...]) -> dict[bytes, bytes]:
+    found: dict[bytes, bytes] = {}
+    if len(words) % 2:
+        raise CommandError("ERR syntax error")
+    for name, value in zip(words[::2], words[1::2], strict=True):
+        if name.upper() not in allowed or name.upper() in found:
+            raise CommandError(f"ERR syntax error near '{_plain(name)}'")
+        found[name.upper()] = value
+    return found
--- a/orchidlane/gateway/schema.cue
+++ b/orchidlane/gateway/schema.cue
@@ -11,6 +11,7 @@
 	listen: #Address // requests, HTTP/1.1
 	peer:   #Address // datagrams of the other gateways
 	admin:  *"" | #Address // health and metrics; none where empty
+	resp:   *"" | #Address // limits by RESP commands; none where empty
 	zone:   *"zone-1" | string
 }
 
@@ -80,6 +81,24 @@
 	linger:       *"1s" | #Duration // reading on after a refusal within a body
 }
 
+// Limits by RESP commands.
+#Limits: {
+	passwords:    *[] | [...=~"^[0-9a-f]{64}$"] // SHA-256 of what AUTH takes; none: no AUTH is needed
+	token_life:   *"10s" | #Duration // a repeated take counts once so long
+	tokens:       *100000 | int & >=1 // held by one gateway
+	grants:       *100000 | int & >=1 // remembered by one gateway
+	grant_life:   *"30s" | #Duration // a take can be given back so long
+	credit_life:  *"30s" | #Duration // what came back is usable so long
+	reserve_most: *"60s" | #Duration // the longest reservation
+	within_most:  *"10s" | #Duration // the longest wait for room
+	answer:       *"300ms" | #Duration // for another gateway's answer
+	again:        *"40ms" | #Duration // a datagram without an answer is sent again after so long
+	intake:       *5000 | number & >0 // datagrams a second
+	connections:  *10000 | int & >=1
+	bulk:         *"64KiB" | #Size
+	items:        *1024 | int & >=1 // words of a command
+}
+
 #Fleet: {
 	description:  string // an OpenAPI file
 	customers:    string // a JSON file
@@ -90,6 +109,7 @@
 	peers:        #Peers
 	bounds:       #Bounds
 	times:        #Times
+	limits:       #Limits
 	max_attempts: *3 | int & >=1 & <=16
 	log_requests: *false | bool
 }
--- a/orchidlane/gateway/settings.py
+++ b/orchidlane/gateway/settings.py
@@ -46,6 +46,7 @@
     listen: str
     peer: str
     admin: str
+    resp: str
     zone: str
 
 
@@ -102,6 +103,25 @@
     linger: Duration
 
 
+class LimitTerms(msgspec.Struct, frozen=True):
+    """See ``#Limits``; spans in microseconds."""
+
+    passwords: tuple[str, ...]
+    token_life: Duration
+    tokens: int
+    grants: int
+    grant_life: Duration
+    credit_life: Duration
+    reserve_most: Duration
+    within_most: Duration
+    answer: Duration
+    again: Duration
+    intake: float
+    connections: int
+    bulk: Size
+    items: int
+
+
 class Fleet(msgspec.Struct, frozen=True):
     """See ``#Fleet``."""
 
@@ -114,6 +134,7 @@
     peers: Peers
     bounds: Bounds
     times: Times
+    limits: LimitTerms
     max_attempts: int
     log_requests: bool
 
--- a/orchidlane/interface.py
+++ b/orchidlane/interface.py
@@ -167,6 +167,21 @@
     is_repeat: bool
 
 
+@dataclass(frozen=True, slots=True)
+class TakeArrived:
+    """Units wanted without a server: somebody else carries the request out."""
+
+    topic: ClassVar[str] = "take_arrived"
+
+    request: int
+    customer: int
+    plan: int
+    kind: int
+    units: float
+    set_first: int
+    set_size: int
+
+
 @dataclass(frozen=True, slots=True)
 class AttemptEnded:
     """An attempt's outcome; answered means that the request needs no more answer."""
@@ -251,6 +266,7 @@
 Event = (
     ServerListed
     | RequestArrived
+    | TakeArrived
     | AttemptEnded
     | StreamStarted
     | ClientGone
@@ -278,6 +294,13 @@
     attempt: int
 
 
+@dataclass(frozen=True, slots=True)
+class Grant:
+    """A take's units are counted: whoever asked may pass them on."""
+
+    request: int
+
+
 @dataclass(frozen=True, slots=True)
 class Refuse:
     """Final answer: not served, and trying again is harmless; beyond_quota tells why."""
@@ -327,4 +350,4 @@
     """Ask discovery for the whole list once."""
 
 
-Action = Send | Cancel | Refuse | Fail | SetTimer | TellPeer | Probe | AskList | FetchList
+Action = Send | Cancel | Grant | Refuse | Fail | SetTimer | TellPeer | Probe | AskList | FetchList
--- a/orchidlane/lab/backing.py
+++ b/orchidlane/lab/backing.py
@@ -14,7 +14,8 @@
 import structlog
 
 from ..gateway.customers import load_customers
-from ..gateway.program import Knowledge, Program
+from ..gateway.knowledge import Knowledge
+from ..gateway.program import Program
 from ..gateway.settings import Fleet
 from ..loop import Faults as NetFaults
 from ..loop import Loop, Process, RealWorld, SimWorld
--- a/orchidlane/rules.py
+++ b/orchidlane/rules.py
@@ -82,6 +82,16 @@
         self._advance(request)
         self._drop_idle()
 
+    def _take_arrived(self, event: api.TakeArrived) -> None:
+        """A take passes the ordinary path of a first send, up to the server."""
+        request = Request(event, self.s.classes[event.kind], self.now)
+        if self._admits(request):
+            self._spend(request.account, event.units)
+            self.actions.append(api.Grant(event.request))
+        else:
+            self.actions.append(api.Refuse(event.request, 0, beyond_quota=True))
+        self._drop_idle()
+
     def _advance(self, request: Request) -> None:
         """The next step of a request that is owed an answer."""
         last_call = request.until - LEAVE
--- a/tests/house.py
+++ b/tests/house.py
@@ -10,8 +10,9 @@
 
 from orchidlane import http1
 from orchidlane.gateway.customers import load_customers
+from orchidlane.gateway.knowledge import Knowledge
 from orchidlane.gateway.nodelist import NodeLine
-from orchidlane.gateway.program import Knowledge, Program
+from orchidlane.gateway.program import Program
 from orchidlane.gateway.settings import Fleet, parse_fleet
 from orchidlane.lab.standins import NodeList
 from orchidlane.loop import CONTROL, Closed, Expired, Faults, Loop, Scope, SimWorld
--- a/tests/test_parts.py
+++ b/tests/test_parts.py
@@ -16,7 +16,7 @@
 
 
 def inbox(intake=1000.0) -> Inbox:
-    return Inbox(SECRET, rank=0, gateways=3, intake=intake, now=NOW)
+    return Inbox(SECRET, rank=0, gateways=3, now=NOW, intake=intake, limits_intake=0)
 
 
 def datagram(sequence=1, sender=1, receiver=0, life=NOW, body=b"hello", secret=SECRET) -> bytes:
@@ -25,7 +25,7 @@
 
 def test_a_datagram_counts_once():
     box = inbox()
-    assert box.take(NOW, datagram()) == (1, b"hello")
+    assert box.take(NOW, datagram()) == (0, 1, b"hello")
     assert box.take(NOW, datagram()) is None
     assert box.refused == {"replay": 1}
 
--- /dev/null
+++ b/tests/test_resp.py
@@ -0,0 +1,253 @@
+"""RESP: the codec's strictness and bounds, ordinary clients against a real gateway."""
+
+from __future__ import annotations
+
+import asyncio
+import hashlib
+import json
+import socket
+
+import pytest
+import redis
+import redis.asyncio
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from test_cli import Process, folder  # noqa: F401  (the fixture of a gateway's files)
+
+from orchidlane import resp
+from orchidlane.resp import Attributed, Decoder, ErrorReply, Push, SetReply, Simple, Verbatim, encode
+
+SMALL = resp.Limits(line=100, bulk=50, count=20, total=40, depth=4)
+
+
+def values(data: bytes, step: int | None = None, limits: resp.Limits = SMALL) -> list:
+    """All values of some bytes, fed in steps; a breach ends them as its class."""
+    decoder, found = Decoder(limits), []
+    for piece in [data] if step is None else [data[i : i + step] for i in range(0, len(data), step)]:
+        decoder.receive(piece)
+        try:
+            while (value := decoder.next_value()) is not None:
+                found.append(value[0])
+        except resp.Broken:
+            return [*found, resp.Broken]
+    return found
+
+
+CASES = [
+    (b"+OK\r\n", Simple("OK")),
+    (b"-ERR no\r\n", ErrorReply("ERR no")),
+    (b":-5\r\n", -5),
+    (b"$3\r\nabc\r\n", b"abc"),
+    (b"$0\r\n\r\n", b""),
+    (b"$-1\r\n", None),
+    (b"*-1\r\n", None),
+    (b"*0\r\n", []),
+    (b"*2\r\n:1\r\n*1\r\n$1\r\na\r\n", [1, [b"a"]]),
+    (b"_\r\n", None),
+    (b"#t\r\n", True),
+    (b",1.5\r\n", 1.5),
+    (b",-inf\r\n", float("-inf")),
+    (b"(" + b"9" * 30 + b"\r\n", int("9" * 30)),
+    (b"=7\r\ntxt:abc\r\n", Verbatim("txt", b"abc")),
+    (b"!5\r\nERR x\r\n", ErrorReply("ERR x")),
+    (b"%1\r\n+a\r\n:1\r\n", {Simple("a"): 1}),
+    (b"~2\r\n:1\r\n:2\r\n", SetReply([1, 2])),
+    (b">1\r\n+m\r\n", Push([Simple("m")])),
+    (b"|1\r\n+k\r\n:1\r\n:7\r\n", Attributed([(Simple("k"), 1)], 7)),
+]
+BAD = [
+    b"$2147483648\r\n",
+    b"$-2\r\n",
+    b"$3\r\nabcd\r\n",
+    b"$3\r\nabc\rX",
+    b"*21\r\n",
+    b"*-2\r\n",
+    b"*1\r\n" * 5,
+    b"*20\r\n" + b"*19\r\n" * 3,
+    b":1.5\r\n",
+    b":99999999999999999999\r\n",
+    b"#x\r\n",
+    b"=2\r\nab\r\n",
+    b"$?\r\n",
+    b"*?\r\n",
+    b"%?\r\n",
+    b"+a\rb\r\n",
+    b"+a\n",
+    b"\r\n",
+    b"?\r\n",
+    b"+" + b"a" * 200,
+]
+
+
+@pytest.mark.parametrize(("data", "value"), CASES)
+@pytest.mark.parametrize("step", [None, 1])
+def test_each_kind_of_value_is_read(data, value, step):
+    assert values(data, step) == [value]
+
+
+@pytest.mark.parametrize("data", BAD)
+@pytest.mark.parametrize("step", [None, 1])
+def test_breaches_and_bounds_end_the_connection(data, step):
+    assert values(data, step)[-1] is resp.Broken
+
+
+def test_a_thousand_nested_arrays_are_refused_without_recursion():
+    assert values(b"*1\r\n" * 1_000, limits=resp.Limits())[-1] is resp.Broken
+
+
+def test_commands_come_as_arrays_or_inline():
+    decoder = Decoder()
+    decoder.receive(b'*2\r\n$4\r\nECHO\r\n$1\r\na\r\nPING "a b" c\r\n\r\n*-1\r\n*0\r\nQUIT\n')
+    found = [decoder.next_command() for _ in range(6)]
+    assert found == [[b"ECHO", b"a"], [b"PING", b"a b", b"c"], [], [], [], [b"QUIT"]]
+    assert decoder.next_command() is None
+
+
+@pytest.mark.parametrize("data", [b"*1\r\n:1\r\n", b"*1\r\n*0\r\n", b"*1\r\n$-1\r\n"])
+def test_a_command_of_other_than_strings_is_refused(data):
+    decoder = Decoder()
+    decoder.receive(data)
+    with pytest.raises(resp.Broken):
+        decoder.next_command()
+
+
+plain = st.recursive(
+    st.none() | st.integers(-(2**63), 2**63 - 1) | st.binary(max_size=20) | st.booleans(),
+    lambda inner: st.lists(inner, max_size=4) | st.dictionaries(st.binary(max_size=4), inner, max_size=3),
+    max_leaves=12,
+)
+
+
+@given(plain, st.integers(1, 7))
+def test_what_is_written_as_resp3_is_read_again(value, step):
+    assert values(encode(value, 3), step, resp.Limits()) == [value]
+
+
+@settings(max_examples=500)
+@given(st.lists(st.sampled_from([*(data for data, _ in CASES), *BAD]), max_size=4), st.binary(max_size=8))
+def test_any_bytes_give_values_or_a_breach(parts, noise):
+    data = b"".join(parts) + noise
+    whole = values(data)
+    assert values(data, 1) == whole or resp.Broken in whole or resp.Broken in values(data, 1)
+    decoder = Decoder(SMALL)
+    decoder.receive(data)
+    try:
+        while (command := decoder.next_command()) is not None:
+            assert all(isinstance(word, bytes) for word in command)
+    except resp.Broken:
+        pass
+
+
+# Ordinary clients against a gateway
+
+
+@pytest.fixture
+def front(folder):  # noqa: F811
+    """A single gateway with a RESP front; its only customer is acero on basico (4 a second, 12 at once)."""
+    with socket.socket() as sock:
+        sock.bind(("127.0.0.1", 0))
+        port = sock.getsockname()[1]
+    file = folder / "fleet.cue"
+    lines = file.read_text().replace(":8380", f":{port}").splitlines()
+    kept = [line for line in lines if 'name: "gw-1"' not in line and 'name: "gw-2"' not in line]
+    password = hashlib.sha256(b"secret").hexdigest()
+    limits = f'limits: {{passwords: ["{password}"], token_life: "300ms"}}'
+    file.write_text("\n".join(kept).replace("limits: {}", limits))
+    customers = {"customers": [{"id": 1, "name": "acero", "plan": "basico", "keys": ["8d" * 32]}]}
+    (folder / "customers.json").write_text(json.dumps(customers))
+    process = Process(folder)
+    process.until("started")
+    yield port
+    process.process.kill()
+    process.process.wait()
+
+
+def client(port: int, protocol: int, **more) -> redis.Redis:
+    return redis.Redis("127.0.0.1", port, password="secret", protocol=protocol, socket_timeout=5, **more)
+
+
+@pytest.mark.parametrize("protocol", [2, 3])
+@pytest.mark.parametrize("pure", [True, False])
+def test_ordinary_clients_connect_and_take(front, protocol, pure):
+    from redis._parsers import _HiredisParser, _RESP2Parser, _RESP3Parser
+
+    parser = (_RESP2Parser if protocol == 2 else _RESP3Parser) if pure else _HiredisParser
+    pool = redis.ConnectionPool(
+        host="127.0.0.1", port=front, password="secret", protocol=protocol, parser_class=parser
+    )
+    with redis.Redis(connection_pool=pool) as found:
+        assert found.ping() is True
+        assert found.echo("a") == b"a"
+        assert found.client_setname("x")
+        assert found.execute_command("CL.THROTTLE", "acero", 11, 4, 1) == [0, 12, 11, -1, 0]
+        assert found.execute_command("LIMIT.TAKE", "acero", 5)[0] == 1
+        with pytest.raises(redis.ResponseError, match="basico decides: max_burst 11, count/period 4"):
+            found.execute_command("CL.THROTTLE", "acero", 10, 4, 1)
+        with pytest.raises(redis.ResponseError, match="no customer"):
+            found.execute_command("LIMIT.PEEK", "nobody")
+        with found.pipeline(transaction=False) as pipe:
+            for _ in range(20):
+                pipe.execute_command("LIMIT.TAKE", "acero", 1)
+            answers = pipe.execute()
+    assert sum(granted for granted, _, _ in answers) in range(2, 9)
+    refused = next(answer for answer in answers if not answer[0])
+    assert refused[2] >= 1
+
+
+def test_the_asyncio_client_with_its_pool(front):
+    async def use() -> list:
+        found = redis.asyncio.Redis(host="127.0.0.1", port=front, password="secret", protocol=3)
+        async with found:
+            return await asyncio.gather(*(found.execute_command("LIMIT.TAKE", "acero", 1) for _ in range(30)))
+
+    answers = asyncio.run(use())
+    assert 9 <= sum(granted for granted, _, _ in answers) <= 13
+
+
+def test_tokens_reservations_and_give_backs(front):
+    with client(front, 3) as found:
+        unsure = 0
+        while True:  # a holder that started lately is not sure of any token
+            try:
+                found.execute_command("LIMIT.TAKE", "acero", 1, "IDEMPOTENT", "t")
+                break
+            except redis.exceptions.TryAgainError:
+                unsure += 1
+                assert unsure < 100_000
+        info = found.execute_command("LIMIT.INFO")
+        again = found.execute_command("LIMIT.TAKE", "acero", 1, "IDEMPOTENT", "t")
+        assert again[0] == 1
+        assert found.execute_command("LIMIT.INFO")[b"granted"] == info[b"granted"]
+        assert found.execute_command("LIMIT.GIVEBACK", "acero", "t") == 1
+        assert found.execute_command("LIMIT.GIVEBACK", "acero", "t") == 0
+        name = found.execute_command("LIMIT.RESERVE", "acero", 2, "FOR", 5_000)
+        assert found.execute_command("LIMIT.COMMIT", "acero", name) == 1
+        assert found.execute_command("LIMIT.RELEASE", "acero", name) == 0
+        brief = found.execute_command("LIMIT.RESERVE", "acero", 2, "FOR", 1)
+        with pytest.raises(redis.ResponseError, match="EXPIRED"):
+            for _ in range(1_000):
+                found.execute_command("LIMIT.PEEK", "acero")
+            found.execute_command("LIMIT.COMMIT", "acero", brief)
+        with pytest.raises(redis.ResponseError, match="NOGRANT"):
+            found.execute_command("LIMIT.COMMIT", "acero", "0-0-0")
+
+
+def raw(port: int, data: bytes) -> bytes:
+    with socket.create_connection(("127.0.0.1", port), 5) as sock:
+        sock.sendall(data)
+        sock.shutdown(socket.SHUT_WR)
+        got = b""
+        while piece := sock.recv(65536):
+            got += piece
+        return got
+
+
+def test_no_password_no_command_and_clear_protocol_errors(front):
+    assert raw(front, b"PING\r\n") == b"-NOAUTH Authentication required.\r\n"
+    assert raw(front, b"AUTH wrong\r\n").startswith(b"-WRONGPASS")
+    assert raw(front, b"HELLO 4\r\n").startswith(b"-NOPROTO")
+    assert raw(front, b"AUTH secret\r\nFLUSHALL now\r\n") == b"+OK\r\n-ERR unknown command 'FLUSHALL'\r\n"
+    assert raw(front, b"AUTH secret\r\nLIMIT.TAKE acero\r\n").endswith(b"'limit.take' command\r\n")
+    assert raw(front, b"*1\r\n$2147483648\r\n").startswith(b"-ERR Protocol error: a length beyond")
+    assert raw(front, b"*1\r\n" * 1_000).startswith(b"-ERR Protocol error: nested deeper")
+    assert raw(front, b"AUTH secret\r\nLIMIT.TAKE acero 0\r\n").endswith(b"allowed: 1 to 1000000\r\n")
