--- a/examples/materials/bad.cue
+++ b/examples/materials/bad.cue
@@ -7,6 +7,7 @@
 rate:      70
 span:      "24s"
 peer_loss: 0.03
+takes:     25
 kinds: [
 	{class: "sheet-read", share: 0.6, method: "GET", target: "/v1/sheets/{}", work: "20ms"},
 	{class: "test-upload", share: 0.25, method: "PUT", target: "/v1/tests/{}", work: "40ms", body: 3000},
--- a/examples/materials/fleet.cue
+++ b/examples/materials/fleet.cue
@@ -25,4 +25,4 @@
 peers: secret_file: "secret"
 bounds: {}
 times: {}
-limits: {}
+limits: token_life: "3s"
--- a/orchidlane/lab/audit.py
+++ b/orchidlane/lab/audit.py
@@ -12,7 +12,7 @@
 from typing import Any
 
 from .. import interface as api
-from .records import Arrival, Away, Extra, Fell, Record, Run, Told, Try
+from .records import Arrival, Away, Extra, Fell, Record, Run, Take, Told, Try
 
 
 @dataclass(frozen=True, slots=True)
@@ -24,6 +24,7 @@
     answer_slack: int  # a final answer so late still counts: the way back
     arrival_slack: int  # between a gateway's decision and a node's reading
     ceilings: dict[int, tuple[float, float, float]]  # customer -> rate, burst, slack
+    quotas: dict[int, tuple[float, float]]  # customer -> rate, burst
 
 
 @dataclass
@@ -43,6 +44,9 @@
     fell_over: list[str]
     ceiling_worst: float  # overshoot over the allowed slack: 1 is at the rule
     runs: int
+    takes: dict[str, int]
+    units: float  # passed on over both fronts
+    beyond: float  # of them beyond the quota of one true store for each customer
 
     @property
     def rules(self) -> dict[str, bool]:
@@ -61,6 +65,7 @@
         found: dict[str, Any] = {"requests": self.requests, "tries": self.tries, "answers": self.answers}
         found |= {name: len(getattr(self, name)) for name in lists}
         found |= {"fell_over": len(self.fell_over), "set_aside": self.set_aside, "runs": self.runs}
+        found |= {"takes": self.takes, "units": self.units, "units_beyond_quota": round(self.beyond, 1)}
         found |= {"ceiling_worst": round(self.ceiling_worst, 3), "rules": self.rules}
         found["which"] = {name: getattr(self, name)[:5] for name in lists if getattr(self, name)}
         return found
@@ -76,20 +81,28 @@
     owed = [t for t in tries if _owed(t, away[t.gateway], terms.answer_slack)]
     runs = sorted((r for r in records if isinstance(r, Run)), key=lambda run: run.at)
     arrivals = sorted((r for r in records if isinstance(r, Arrival)), key=lambda arrival: arrival.at)
+    takes = [r for r in records if isinstance(r, Take)]
+    owed_takes = [t for t in takes if _owes_reply(t, away[t.gateway], terms.answer_slack)]
+    draws = _draws(arrivals, takes)
     return Verdict(
         requests=len({t.request for t in tries}),
         tries=len(tries),
         answers=dict(sorted(Counter(str(t.status) if t.status else t.end for t in tries).items())),
-        missing=[t.name for t in owed if t.end != "answer"],
-        doubled=[t.name for t in tries if t.extra] + [r.name for r in records if isinstance(r, Extra)],
+        missing=[t.name for t in owed if t.end != "answer"] + [t.name for t in owed_takes],
+        doubled=[t.name for t in tries if t.extra]
+        + [t.name for t in takes if t.extra]
+        + [r.name for r in records if isinstance(r, Extra)],
         late=[t.name for t in owed if t.end == "answer" and t.ended > t.by + terms.answer_slack],
         set_aside=len(tries) - len(owed),
         effects_twice=_effects_twice(runs, terms),
         refused_but_ran=_refused_but_ran(tries, runs, terms),
         sent_after_drain=_sent_after_drain(arrivals, records, away, terms),
         fell_over=[r.node for r in records if isinstance(r, Fell)],
-        ceiling_worst=_ceiling_worst(arrivals, terms),
+        ceiling_worst=_ceiling_worst(draws, terms),
         runs=len(runs),
+        takes=dict(sorted(Counter(t.end for t in takes).items())),
+        units=sum(units for _, _, units in draws),
+        beyond=_beyond(draws, terms),
     )
 
 
@@ -110,6 +123,46 @@
     return True
 
 
+def _owes_reply(one: Take, gaps: list[Away], slack: int) -> bool:
+    """Whether a take got no reply from a gateway that ran all the time."""
+    if one.end not in ("silence", "reset"):
+        return False
+    return not any(gap.begin <= one.ended + slack and gap.end + slack >= one.at for gap in gaps)
+
+
+def _draws(arrivals: list[Arrival], takes: list[Take]) -> list[tuple[int, int, float]]:
+    """What was passed on over both fronts, once for each try or token: when, customer, units."""
+    draws: list[tuple[int, int, float]] = []
+    seen: set[str] = set()
+    for arrival in arrivals:
+        if arrival.attempt_of not in seen:
+            seen.add(arrival.attempt_of)
+            draws.append((arrival.at, arrival.customer, arrival.units))
+    for take in takes:
+        if take.end == "granted" and take.name not in seen:
+            seen.add(take.name)
+            draws.append((take.ended, take.customer, take.units))
+    return sorted(draws)
+
+
+def _beyond(draws: list[tuple[int, int, float]], terms: Terms) -> float:
+    """Units that one true store for each customer would not have held; such a draw takes nothing of it."""
+    stores: dict[int, tuple[float, int]] = {}
+    beyond = 0.0
+    for at, customer, units in draws:
+        rate, burst = terms.quotas.get(customer, (0.0, 0.0))
+        if not rate:
+            continue
+        store, since = stores.get(customer, (burst, at))
+        store = min(burst, store + rate * (at - since) / 1_000_000)
+        if store >= units:
+            store -= units
+        else:
+            beyond += units
+        stores[customer] = store, at
+    return beyond
+
+
 def _effects_twice(runs: list[Run], terms: Terms) -> list[str]:
     """Requests whose effect came about more than once, repeats dropped as the nodes of a cell drop them."""
     done: dict[str, list[Run]] = defaultdict(list)
@@ -189,19 +242,17 @@
     return at
 
 
-def _ceiling_worst(arrivals: list[Arrival], terms: Terms) -> float:
+def _ceiling_worst(draws: list[tuple[int, int, float]], terms: Terms) -> float:
     """The deepest that any ceiling's store went below nothing, over its slack."""
     stores: dict[int, tuple[float, int]] = {}
-    seen: set[str] = set()
     worst = 0.0
-    for arrival in arrivals:
-        ceiling = terms.ceilings.get(arrival.customer)
-        if ceiling is None or arrival.attempt_of in seen:
+    for at, customer, units in draws:
+        ceiling = terms.ceilings.get(customer)
+        if ceiling is None:
             continue
-        seen.add(arrival.attempt_of)
         rate, burst, slack = ceiling
-        store, at = stores.get(arrival.customer, (burst, arrival.at))
-        store = min(burst, store + rate * (arrival.at - at) / 1_000_000) - arrival.units
-        stores[arrival.customer] = store, arrival.at
+        store, since = stores.get(customer, (burst, at))
+        store = min(burst, store + rate * (at - since) / 1_000_000) - units
+        stores[customer] = store, at
         worst = max(worst, -store / slack)
     return worst
--- a/orchidlane/lab/day.cue
+++ b/orchidlane/lab/day.cue
@@ -41,6 +41,7 @@
 	kinds:     [...#Kind]
 	list_delay: *["200ms", "900ms"] | [#Duration, #Duration]
 	peer_loss:  *0.02 | #Chance
+	takes:      *0 | number & >=0 // takes a second over RESP
 	answer_slack:  *"100ms" | #Duration
 	arrival_slack: *"100ms" | #Duration
 	steps:     [...#Step]
--- a/orchidlane/lab/day.py
+++ b/orchidlane/lab/day.py
@@ -29,6 +29,7 @@
 from .node import FAULTS, Faults, NodeSpec, Work
 from .records import Away, Record, decode
 from .standins import NodeList, Relay
+from .takers import Takers
 
 SECRET = b"a secret for stand-ins only"
 SETTLE = 1_500_000  # microseconds after the last request
@@ -79,6 +80,7 @@
     kinds: tuple[KindEntry, ...]
     list_delay: tuple[Duration, Duration]
     peer_loss: float
+    takes: float
     answer_slack: Duration
     arrival_slack: Duration
     steps: tuple[Step, ...]
@@ -155,19 +157,20 @@
     source = Path(day.fleet)
     value = config.plain(source.read_text(), day.fleet, schema(), "#Fleet")
     count = day.gateways
-    places = free(4 * count + 1 + day.racks * day.rack_size)
-    listen, own, relayed, admin = (places[i * count : (i + 1) * count] for i in range(4))
-    list_at, node_places = places[4 * count], places[4 * count + 1 :]
+    places = free(5 * count + 1 + day.racks * day.rack_size)
+    listen, own, relayed, admin, resp = (places[i * count : (i + 1) * count] for i in range(5))
+    list_at, node_places = places[5 * count], places[5 * count + 1 :]
     if as_written:
-        listen, relayed, admin = (
-            [address(entry[name]) for entry in value["gateways"]] for name in ("listen", "peer", "admin")
+        listen, relayed, admin, resp = (
+            [address(entry[name]) for entry in value["gateways"]]
+            for name in ("listen", "peer", "admin", "resp")
         )
         list_at = address(value["nodes"]["list"])
     value |= {
         "description": str((source.parent / value["description"]).resolve()),
         "customers": f"{folder}/customers.json",
         "state": folder,
-        "gateways": [_gateway_entry(i, listen, relayed, admin) for i in range(count)],
+        "gateways": [_gateway_entry(i, listen, relayed, admin, resp) for i in range(count)],
     }
     value["nodes"]["list"] = _text(list_at)
     value["peers"]["secret_file"] = f"{folder}/secret"
@@ -198,12 +201,15 @@
     return config.render(value)[1:-1]
 
 
-def _gateway_entry(rank: int, listen: list[Address], peer: list[Address], admin: list[Address]) -> Any:
+def _gateway_entry(
+    rank: int, listen: list[Address], peer: list[Address], admin: list[Address], resp: list[Address]
+) -> Any:
     return {
         "name": f"gw-{rank}",
         "listen": _text(listen[rank]),
         "peer": _text(peer[rank]),
         "admin": _text(admin[rank]),
+        "resp": _text(resp[rank]),
         "zone": "hall-1",
     }
 
@@ -277,6 +283,8 @@
                 for step in day.steps:
                     scope.spawn(self._step, step, kind=CONTROL, name=step.do)
                 scope.spawn(self.crowd.run, kind=REQUESTS, name="crowd")
+                if day.takes:
+                    scope.spawn(self._takers().run, kind=REQUESTS, name="crowd")
                 self.loop.sleep(day.span + SETTLE)
                 while self._busy(scope):
                     self.loop.sleep(100_000)
@@ -347,11 +355,20 @@
         doors = [(f"gw-{rank}", at) for rank, at in enumerate(plan.gateways)]
         return Crowd(self.loop, doors, subscribers, kinds, day.rate, day.span, self.records.append)
 
+    def _takers(self) -> Takers:
+        """The same subscribers over the other front."""
+        assert self.crowd is not None
+        doors = [(one.name, address(one.resp)) for one in self.plan.fleet.gateways]
+        day = self.plan.day
+        return Takers(self.loop, doors, self.crowd.subscribers, day.takes, day.span, self.records.append)
+
     def terms(self) -> Terms:
         """The rules' figures for the audit."""
         plan = self.plan
-        ceilings = {}
+        ceilings, quotas = {}, {}
         for entry in plan.customers:
+            quota = plan.fleet.plans[entry.plan]
+            quotas[entry.id] = quota.rate, quota.burst
             ceiling = plan.fleet.plans[entry.plan].ceiling
             if ceiling is not None:
                 ceilings[entry.id] = ceiling.rate, ceiling.burst, ceiling.slack
@@ -361,6 +378,7 @@
             answer_slack=plan.day.answer_slack,
             arrival_slack=plan.day.arrival_slack,
             ceilings=ceilings,
+            quotas=quotas,
         )
 
     def _node_records(self) -> list[Record]:
--- a/orchidlane/lab/records.py
+++ b/orchidlane/lab/records.py
@@ -65,6 +65,20 @@
     extra: int = 0  # bytes after the answer that belong to none
 
 
+class Take(msgspec.Struct, frozen=True, tag="take"):
+    """One try of a take over RESP. ``end``: granted, refused, error, silence, reset, unreachable."""
+
+    at: int
+    by: int
+    ended: int
+    gateway: str
+    name: str  # the same over all tries, and the token
+    customer: int
+    units: float
+    end: str
+    extra: int
+
+
 class Extra(msgspec.Struct, frozen=True, tag="extra"):
     """Bytes came on a client's connection after the answer to a try, and belong to none."""
 
@@ -80,7 +94,7 @@
     why: Literal["killed", "drained", "still"]
 
 
-Record = Arrival | Run | Fell | Told | Try | Extra | Away
+Record = Arrival | Run | Fell | Told | Try | Take | Extra | Away
 
 
 def encode(record: Record) -> bytes:
--- /dev/null
+++ b/orchidlane/lab/takers.py
@@ -0,0 +1,112 @@
+"""Stand-ins for services that ask for quota over RESP, and try again through other gateways."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from .. import resp
+from ..loop import REQUESTS, Closed, Expired, Loop, NotConnected, Scope, Stream
+from ..loop.world import Address
+from ..resp import ErrorReply
+from .clients import Subscriber
+from .records import Record, Take
+
+PATIENCE = 1_500_000  # microseconds that a service waits for a reply
+CONNECT = 300_000
+TRIES = 4
+WITH_TOKEN = 0.8  # of the takes
+AGAIN_WITHIN = 1_000_000  # microseconds after the first try: well within a token's life
+
+
+@dataclass
+class Takers:
+    """Services together: ``rate`` takes a second for ``span`` microseconds."""
+
+    loop: Loop
+    gateways: list[tuple[str, Address]]
+    subscribers: list[Subscriber]
+    rate: float
+    span: int
+    record: Callable[[Record], None]
+    sent: int = 0
+    idle: dict[int, list[tuple[Stream, resp.Decoder]]] = field(default_factory=dict)
+
+    def run(self) -> None:
+        """Ask until the span is over, then wait for all replies."""
+        random, end = self.loop.world.random, self.loop.now() + self.span
+        weights = [subscriber.weight for subscriber in self.subscribers]
+        due = float(self.loop.now())
+        with Scope(self.loop) as scope:
+            while due < end:
+                due += random.expovariate(self.rate) * 1_000_000
+                self.loop.sleep(int(due) - self.loop.now())
+                self.sent += 1
+                subscriber = random.choices(self.subscribers, weights)[0]
+                scope.spawn(self._take, f"t{self.sent}", subscriber, kind=REQUESTS)
+
+    def _take(self, name: str, subscriber: Subscriber) -> None:
+        random = self.loop.world.random
+        units, with_token = random.randint(1, 3), random.random() < WITH_TOKEN
+        until = self.loop.now() + AGAIN_WITHIN
+        for _ in range(TRIES):
+            rank = random.choice(subscriber.gateways)
+            done = self._try(rank, name, subscriber, units, with_token)
+            self.record(done)
+            if done.end in ("granted", "refused") or (not with_token and done.end != "unreachable"):
+                return
+            if self.loop.now() > until:
+                return
+            self.loop.sleep(random.randint(20_000, 200_000))
+
+    def _try(self, rank: int, name: str, subscriber: Subscriber, units: int, with_token: bool) -> Take:
+        at = self.loop.now()
+        end, extra = self._exchange(rank, name, subscriber, units, with_token, at + PATIENCE)
+        return Take(
+            at=at,
+            by=at + PATIENCE,
+            ended=self.loop.now(),
+            gateway=self.gateways[rank][0],
+            name=name,
+            customer=subscriber.number,
+            units=float(units),
+            end=end,
+            extra=extra,
+        )
+
+    def _exchange(
+        self, rank: int, name: str, subscriber: Subscriber, units: int, with_token: bool, by: int
+    ) -> tuple[str, int]:
+        try:
+            stream, decoder = self._connection(rank)
+        except (NotConnected, Expired):
+            return "unreachable", 0
+        words = ["LIMIT.TAKE", subscriber.key, str(units), *(("IDEMPOTENT", name) if with_token else ())]
+        try:
+            stream.send(resp.encode(words), by)
+            while (found := decoder.next_value()) is None:
+                data = stream.recv(deadline=by)
+                if not data:
+                    raise Closed("the end before a reply")
+                decoder.receive(data)
+        except (Closed, Expired, resp.Broken) as wrong:
+            stream.close()
+            return ("silence" if isinstance(wrong, Expired) else "reset"), 0
+        extra = decoder.pending
+        self.idle.setdefault(rank, []).append((stream, decoder))
+        if isinstance(found[0], ErrorReply):
+            return "error", extra
+        return ("granted" if found[0][0] else "refused"), extra
+
+    def _connection(self, rank: int) -> tuple[Stream, resp.Decoder]:
+        idle = self.idle.get(rank, [])
+        while idle:
+            stream, decoder = idle.pop()
+            try:
+                if stream.try_recv() is None:
+                    return stream, decoder
+            except Closed:
+                pass
+            stream.close()
+        stream = self.loop.world.connect(self.gateways[rank][1], self.loop.now() + CONNECT)
+        return stream, resp.Decoder()
--- a/tests/test_resp.py
+++ b/tests/test_resp.py
@@ -152,7 +152,7 @@
     kept = [line for line in lines if 'name: "gw-1"' not in line and 'name: "gw-2"' not in line]
     password = hashlib.sha256(b"secret").hexdigest()
     limits = f'limits: {{passwords: ["{password}"], token_life: "300ms"}}'
-    file.write_text("\n".join(kept).replace("limits: {}", limits))
+    file.write_text("\n".join(kept).replace('limits: token_life: "3s"', limits))
     customers = {"customers": [{"id": 1, "name": "acero", "plan": "basico", "keys": ["8d" * 32]}]}
     (folder / "customers.json").write_text(json.dumps(customers))
     process = Process(folder)
