--- a/tests/test_resp.py
+++ b/tests/test_resp.py
@@ -6,6 +6,7 @@
 import hashlib
 import json
 import socket
+from pathlib import Path
 
 import pytest
 import redis
@@ -17,6 +18,7 @@
 from orchidlane import resp
 from orchidlane.resp import Attributed, Decoder, ErrorReply, Push, SetReply, Simple, Verbatim, encode
 
+CORPUS = Path(__file__).parent / "corpus" / "resp"
 SMALL = resp.Limits(line=100, bulk=50, count=20, total=40, depth=4)
 
 
@@ -138,6 +140,13 @@
         pass
 
 
+@pytest.mark.parametrize("file", sorted(CORPUS.iterdir()), ids=lambda file: file.name)
+def test_the_corpus_is_judged_as_its_names_say(file):
+    for step in (None, 1, 3):
+        found = values(file.read_bytes(), step)
+        assert (resp.Broken in found) == file.name.startswith("bad")
+
+
 # Ordinary clients against a gateway
 
 
--- /dev/null
+++ b/tests/test_respfront.py
@@ -0,0 +1,167 @@
+"""The RESP front's hard cases over the simulated network."""
+
+from __future__ import annotations
+
+import msgspec
+from house import GET, KEY, MS, SECOND, SETTINGS, House, good
+from test_gateway import TIGHT
+
+from orchidlane.gateway.settings import parse_fleet
+from orchidlane.loop import Closed, Expired
+from orchidlane.resp import Decoder, ErrorReply, encode
+
+DOOR = ("127.0.0.1", 8380)
+ALONE = parse_fleet(SETTINGS, "fleet.cue").gateways[:1]
+
+
+def run(test, **changes) -> None:
+    limits = {"token_life": 1 * SECOND, **changes.pop("limits", {})}
+    House(good, gateways=ALONE, limits=limits, **changes).run(test)
+
+
+def replies(house: House, stream, count: int, wait: int = 5 * SECOND) -> list:
+    decoder, found = Decoder(), []
+    while len(found) < count:
+        decoder.receive(stream.recv(deadline=house.loop.now() + wait))
+        while (value := decoder.next_value()) is not None:
+            found.append(value[0])
+    return found
+
+
+def call(house: House, *words) -> object:
+    stream = house.world.connect(DOOR)
+    stream.send(encode([KEY if word is KEY else str(word) for word in words]))
+    found = replies(house, stream, 1)[0]
+    stream.close()
+    return found
+
+
+def take(units: int = 1) -> bytes:
+    return encode(["LIMIT.TAKE", KEY, str(units)])
+
+
+def test_a_long_pipeline_does_not_hold_others_up():
+    def test(house):
+        busy, other = house.world.connect(DOOR), house.world.connect(DOOR)
+        order = []
+
+        def read(name, stream, count):
+            replies(house, stream, count)
+            order.append(name)
+
+        task = house.scope.spawn(read, "pipeline", busy, 10_000)
+        busy.send(take() * 10_000)
+        house.scope.spawn(read, "one", other, 1)
+        other.send(take())
+        while not task.done:
+            house.loop.sleep(MS)
+        assert order == ["one", "pipeline"]
+
+    run(test)
+
+
+def test_a_client_that_reads_nothing_is_closed_and_costs_no_memory():
+    def test(house):
+        stream = house.world.connect(DOOR)
+        sent = 0
+        try:
+            while True:
+                stream.send(take() * 1_000, house.loop.now() + 2 * SECOND)
+                sent += 1_000
+        except (Expired, Closed):
+            pass
+        assert sent < 20_000
+        house.loop.sleep(3 * SECOND)
+        assert not house.program.resp.sessions
+
+    run(test, times={"write": 2 * SECOND})
+
+
+def test_half_a_command_and_silence_ends_after_a_while():
+    def test(house):
+        stream = house.world.connect(DOOR)
+        stream.send(b"*3\r\n$10\r\nLIMIT.")
+        began = house.loop.now()
+        assert stream.recv(deadline=began + 5 * SECOND) == b""
+        assert house.loop.now() - began < 3 * SECOND
+
+    run(test, times={"body": 2 * SECOND})
+
+
+def test_both_fronts_draw_on_one_store():
+    def test(house):
+        granted = sum(call(house, "LIMIT.TAKE", KEY, 1)[0] for _ in range(6))
+        served = sum(house.ask(GET)[0] == 200 for _ in range(20))
+        assert granted == 6
+        assert granted + served <= 13
+        assert call(house, "LIMIT.TAKE", KEY, 3)[0] == 0
+
+    run(test, plans=TIGHT)
+
+
+def test_a_take_waits_for_room_when_told_to():
+    def test(house):
+        while call(house, "LIMIT.TAKE", KEY, 2)[0]:
+            pass
+        began = house.loop.now()
+        assert call(house, "LIMIT.TAKE", KEY, 2, "WITHIN", 5_000)[0] == 1
+        assert 100 * MS < house.loop.now() - began < 5 * SECOND
+
+    run(test, plans=TIGHT)
+
+
+def test_a_token_whose_gateway_restarted_is_not_counted_again_and_nothing_comes_back():
+    def test(house):
+        house.loop.sleep(SECOND)
+        assert call(house, "LIMIT.TAKE", KEY, 1, "IDEMPOTENT", "t")[0] == 1
+        house.world.kill(house.process)
+        house.start()
+        house.loop.sleep(300 * MS)
+        unsure = call(house, "LIMIT.TAKE", KEY, 1, "IDEMPOTENT", "t")
+        assert isinstance(unsure, ErrorReply)
+        assert unsure.text.startswith("TRYAGAIN")
+        assert call(house, "LIMIT.GIVEBACK", KEY, "t").text.startswith("TRYAGAIN")
+        house.loop.sleep(SECOND)
+        assert call(house, "LIMIT.GIVEBACK", KEY, "t").text.startswith("NOGRANT")
+
+    run(test)
+
+
+def test_a_reservation_that_expires_comes_back_once():
+    def test(house):
+        name = call(house, "LIMIT.RESERVE", KEY, 5, "FOR", 500)
+        assert call(house, "LIMIT.PEEK", KEY)[8] == b"credit"
+        house.loop.sleep(600 * MS)
+        text = name.decode()
+        assert call(house, "LIMIT.COMMIT", KEY, text).text.startswith("EXPIRED")
+        assert call(house, "LIMIT.RELEASE", KEY, text).text.startswith("EXPIRED")
+        assert call(house, "LIMIT.PEEK", KEY)[9] == b"5.0"
+
+    run(test)
+
+
+def test_at_the_bound_of_grants_reservations_are_refused_and_nothing_is_counted():
+    def test(house):
+        for _ in range(3):
+            assert call(house, "LIMIT.RESERVE", KEY, 1, "FOR", 5_000)
+        before = house.program.limits.granted
+        assert call(house, "LIMIT.RESERVE", KEY, 1, "FOR", 5_000).text.startswith("BUSY")
+        assert house.program.limits.granted == before
+
+    run(test, limits={"grants": 3})
+
+
+def test_at_the_bound_of_clients_the_next_is_told_so():
+    def test(house):
+        held = [house.world.connect(DOOR) for _ in range(2)]
+        house.loop.sleep(50 * MS)
+        assert house.world.connect(DOOR).recv() == b"-ERR max number of clients reached\r\n"
+        held[0].close()
+        house.loop.sleep(50 * MS)
+        assert call(house, "PING").text == "PONG"
+
+    run(test, limits={"connections": 2})
+
+
+def test_settings_of_limits_have_defaults():
+    assert msgspec.structs.asdict(parse_fleet(SETTINGS, "f").limits)["token_life"] == 3 * SECOND
