--- /dev/null
+++ b/benchmarks/index.py
@@ -0,0 +1,91 @@
+"""Entries of one request in a segment: the index beside a scan and a sorted list of pairs.
+
+``python -m benchmarks.index``.
+"""
+
+from __future__ import annotations
+
+import sys
+import tempfile
+import time
+from bisect import bisect_left
+from pathlib import Path
+
+import msgspec
+
+from benchmarks.layers import MATERIALS
+from orchidlane import interface as api
+from orchidlane import record
+from orchidlane.gateway.settings import module_settings, parse_fleet
+from orchidlane.record.index import request_of
+from orchidlane.routes import build, load_description
+from orchidlane.rules import Gateway
+
+LOOKS = 50
+
+
+def write(path: Path, requests: int) -> None:
+    """A segment with so many requests, each arrived and refused or served."""
+    file = MATERIALS / "openapi.yaml"
+    generation = build(load_description(file.read_bytes(), str(file)), str(file))
+    fleet = parse_fleet((MATERIALS / "fleet.cue").read_text(), "fleet.cue")
+    settings = module_settings(fleet, 0, generation)
+    gateway, now = Gateway(settings, 1, 10**15), 10**15
+    entries = tuple(api.ServerEntry(b"s%d" % n, api.Phase.READY, 0, 0, 0, 1.0) for n in range(24))
+    gateway.handle(now, api.ServerListed(api.ListKind.WHOLE, 1, entries))
+    plain = msgspec.to_builtins(settings)
+    header = record.Header(record.FORMAT, "b", "g", now, 0, plain, record.dump(gateway))
+    with path.open("wb") as out:
+        out.write(record.pack_header(header))
+        for number in range(requests):
+            now += 5_000
+            arrived = api.RequestArrived(number, number % 997, 0, 0, 1.0, 2_000_000, 0, 3, False)
+            actions = gateway.handle(now, arrived)
+            out.write(record.pack_entry(now, arrived, actions))
+            for send in (one for one in actions if isinstance(one, api.Send)):
+                ended = api.AttemptEnded(number, 0, send.server, api.Outcome.SERVED, 900, True, 0, 0.0, ())
+                out.write(record.pack_entry(now + 900, ended, gateway.handle(now + 900, ended)))
+
+
+def timed(work) -> float:
+    began = time.perf_counter()
+    work()
+    return time.perf_counter() - began
+
+
+def measure(requests: int) -> None:
+    """One line of the table."""
+    with tempfile.TemporaryDirectory() as folder:
+        path = Path(folder) / "a.olr"
+        write(path, requests)
+        reader = record.SegmentReader(str(path))
+        held: list = []
+        built = timed(lambda: held.append(record.RequestIndex(reader)))
+        index = held.pop()
+        wanted = [n * (requests // LOOKS) for n in range(LOOKS)]
+        look = timed(lambda: [index.entries(n) for n in wanted]) / LOOKS
+        again = record.SegmentReader(str(path))
+        pairs: list = []
+        list_built = timed(
+            lambda: pairs.extend(sorted((request_of(e) or 0, e.place, e) for e in again if e.event))
+        )
+        list_look = timed(lambda: [pairs[bisect_left(pairs, (n, 0))] for n in wanted]) / LOOKS
+        scanner = record.SegmentReader(str(path))
+        scan = timed(lambda: [e for e in scanner if request_of(e) == wanted[-1]])
+        small = sys.getsizeof(index.requests) + sys.getsizeof(index.places)
+        large = sum(sys.getsizeof(p) + sys.getsizeof(p[2]) + sys.getsizeof(p[2].event) for p in pairs)
+        print(
+            f"{requests:8} {built * 1e3:10.0f} {look * 1e6:9.0f} {list_built * 1e3:15.0f} "
+            f"{list_look * 1e6:14.1f} {scan * 1e3:9.0f} {small:9} {large:8}",
+            flush=True,
+        )
+
+
+def main() -> None:
+    print("requests   build ms   look us   list build ms   list look us   scan ms   index B   list B")
+    for requests in (1_000, 10_000, 100_000):
+        measure(requests)
+
+
+if __name__ == "__main__":
+    main()
