--- a/orchidlane/gateway/respfront.py
+++ b/orchidlane/gateway/respfront.py
@@ -34,7 +34,7 @@
 class Session:
     """One client: its protocol version, name, and whether it has shown its password."""
 
-    __slots__ = ("authorized", "decoder", "name", "number", "stream", "version")
+    __slots__ = ("authorized", "busy", "decoder", "name", "number", "stream", "version")
 
     def __init__(self, stream: Stream, number: int, limits: resp.Limits, authorized: bool) -> None:
         self.stream = stream
@@ -43,6 +43,7 @@
         self.version = 2
         self.name = b""
         self.authorized = authorized
+        self.busy = False  # a command is being carried out
 
 
 class RespFront:
@@ -128,17 +129,19 @@
             stream.close()
 
     def drain(self) -> None:
-        """Take no more clients; those that wait for nothing are closed."""
+        """Take no more clients; the idle ones are closed, the others once they were answered."""
         self.draining = True
         self.listener.close()
         for session in list(self.sessions):
-            if not session.decoder.pending:
+            if not session.decoder.pending and not session.busy:
                 session.stream.close()
 
     def _client(self, session: Session) -> None:
         try:
             while self._more(session):
+                session.busy = True
                 self._answer_all(session)
+                session.busy = False
         except (Closed, Expired):
             pass
         finally:
--- a/tests/test_respfront.py
+++ b/tests/test_respfront.py
@@ -110,6 +110,21 @@
     run(test, plans=TIGHT)
 
 
+def test_a_drain_answers_the_command_that_is_under_way():
+    def test(house):
+        while call(house, "LIMIT.TAKE", KEY, 2)[0]:
+            pass
+        idle, stream = house.world.connect(DOOR), house.world.connect(DOOR)
+        stream.send(encode(["LIMIT.TAKE", KEY, "2", "WITHIN", "5000"]))
+        house.loop.sleep(50 * MS)
+        house.program.stop()
+        assert idle.recv(deadline=house.loop.now() + SECOND) == b""
+        assert replies(house, stream, 1)[0][0] == 1
+        assert stream.recv(deadline=house.loop.now() + SECOND) == b""
+
+    run(test, plans=TIGHT)
+
+
 def test_a_token_whose_gateway_restarted_is_not_counted_again_and_nothing_comes_back():
     def test(house):
         house.loop.sleep(SECOND)
