--- a/tests/test_day.py
+++ b/tests/test_day.py
@@ -76,6 +76,12 @@
     assert verdict.runs > 100
 
 
+def test_a_rolling_cold_restart_of_all_nodes_under_load_keeps_all_rules():
+    verdict = simulate(day(step(0.3, "drain_node", *range(6), span=0.7, back=0.1), span=8), 5)
+    assert verdict.rules == dict.fromkeys("12345", True), verdict.as_json()
+    assert verdict.answers["200"] > 100
+
+
 # The audit must object to gateways that are broken on purpose.
 
 
