One loop takes clients for all fronts; knowledge is held in one place

HTTP, RESP and admin each had an accept loop of their own. The admin one knew nothing of being out of descriptors: a failing accept there would have ended the gateway. They now share gateway/door.py, and the test at the limit of descriptors asks the admin address too. The front asked for a copy of the knowledge that reload had to keep in step; it reads the program's own now.

--- a/orchidlane/config/unify.py
+++ b/orchidlane/config/unify.py
@@ -14,7 +14,7 @@
 from typing import Any
 
 from .errors import ConfigError, Place, Problem
-from .syntax import Bound, Choice, Expr, Field, List, Literal, Reference, Struct, Unify
+from .syntax import Bound, Choice, Expr, List, Literal, Reference, Struct, Unify
 
 OPTIONS_MOST = 512  # combinations of options tried for one field
 DEPTH_MOST = 60  # references and fields within each other
@@ -402,6 +402,3 @@
         if not isinstance(value, int | float) or isinstance(value, bool)
         else str(value)
     )
-
-
-__all__ = ["Field", "unify"]
--- /dev/null
+++ b/orchidlane/gateway/door.py
@@ -0,0 +1,28 @@
+"""Takes clients from a listener: the one loop of every front."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from ..loop import Closed, Listener, Loop, NotConnected, Stream
+
+NO_DESCRIPTOR_WAIT = 20_000  # microseconds between two tries to accept without descriptors
+
+
+def accept_clients(
+    loop: Loop,
+    listener: Listener,
+    take: Callable[[Stream], None],
+    make_room: Callable[[], object] = lambda: None,
+) -> None:
+    """Give each client to ``take`` until the listener closes; out of descriptors, make room and try again."""
+    while True:
+        try:
+            stream = listener.accept()
+        except Closed:
+            return
+        except NotConnected:
+            make_room()
+            loop.sleep(NO_DESCRIPTOR_WAIT)
+            continue
+        take(stream)
--- a/orchidlane/gateway/front.py
+++ b/orchidlane/gateway/front.py
@@ -7,17 +7,19 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from typing import TYPE_CHECKING
 from urllib.parse import unquote_to_bytes
 
 from .. import http1
 from .. import interface as api
 from ..http1 import Data, End, Malformed, Request
-from ..loop import REQUESTS, Closed, Expired, Listener, Loop, NotConnected, Scope, Stream
+from ..loop import REQUESTS, Closed, Expired, Listener, Loop, Scope, Stream
 from ..routes import Match, Miss
 from ..routes.generation import give_up_after
 from .answers import problem
 from .customers import Customer
+from .door import NO_DESCRIPTOR_WAIT, accept_clients
 from .exchange import Answer, Body, Exchange
 from .settings import Fleet
 
@@ -25,7 +27,6 @@
     from .host import Host
     from .knowledge import Knowledge
 
-NO_DESCRIPTOR_WAIT = 20_000  # microseconds between two tries to accept without descriptors
 LINGER_MOST = 262_144  # bytes read on after an answer within a body
 
 
@@ -43,7 +44,9 @@
 class Front:
     """Accepts clients and serves them."""
 
-    def __init__(self, loop: Loop, fleet: Fleet, host: Host, knowledge: Knowledge, scope: Scope) -> None:
+    def __init__(
+        self, loop: Loop, fleet: Fleet, host: Host, knowledge: Callable[[], Knowledge], scope: Scope
+    ) -> None:
         self.loop = loop
         self.fleet = fleet
         self.host = host
@@ -69,19 +72,14 @@
         self.scope.spawn(self._accept, kind=REQUESTS, name="accept")
 
     def _accept(self) -> None:
-        while True:
-            try:
-                stream = self.listener.accept()
-            except Closed:
-                return
-            except NotConnected:  # out of descriptors: an idle client gives its own up
-                self._evict()
-                self.loop.sleep(NO_DESCRIPTOR_WAIT)
-                continue
-            self._make_room()
-            connection = Connection(stream, self.limits, self.loop.now())
-            self.connections[connection] = None
-            self.scope.spawn(self._client, connection, kind=REQUESTS, name="client")
+        """Out of descriptors an idle client gives its own up."""
+        accept_clients(self.loop, self.listener, self._take, self._evict)
+
+    def _take(self, stream: Stream) -> None:
+        self._make_room()
+        connection = Connection(stream, self.limits, self.loop.now())
+        self.connections[connection] = None
+        self.scope.spawn(self._client, connection, kind=REQUESTS, name="client")
 
     def _make_room(self) -> None:
         """At the bound the client that is idle for longest goes; while all are busy, no more are taken."""
@@ -180,13 +178,14 @@
 
     def _understand(self, head: Request) -> tuple[Match, Customer, int] | Answer:
         """Operation, customer and patience of a request, or why there are none."""
-        generation = self.knowledge.generation
+        knowledge = self.knowledge()
+        generation = knowledge.generation
         match = generation.match(head.method, head.target)
         if isinstance(match, Miss):
             return _missed(match)
         operation = match.operation
         key = _key(head, match)
-        customer = self.knowledge.customers.of_key(key) if key is not None else None
+        customer = knowledge.customers.of_key(key) if key is not None else None
         if customer is None:
             return problem(401, "No key of a customer.", ((b"www-authenticate", b"ApiKey"),))
         cls = generation.classes[operation.kind]
@@ -212,7 +211,7 @@
             number=self.host.next_number(),
             head=head,
             match=match,
-            generation=self.knowledge.generation,
+            generation=self.knowledge().generation,
             customer=customer,
             body=Body(self.loop, self.fleet.bounds.held_body, head.length),
             task=task,
@@ -291,7 +290,7 @@
         if self.host.recorder is not None:
             self.host.recorder.answer(exchange.number, answer.status, answer.kind, span)
         self._add_figures(exchange, answer)
-        self.knowledge.log_answer(exchange, answer, span)
+        self.knowledge().log_answer(exchange, answer, span)
         return self._finish(connection, exchange.head, answer, body_read=exchange.body.ended)
 
     def _add_figures(self, exchange: Exchange, answer: Answer) -> None:
--- a/orchidlane/gateway/program.py
+++ b/orchidlane/gateway/program.py
@@ -13,6 +13,7 @@
 from ..loop.world import Datagrams
 from ..routes import DescriptionError
 from .datagram import LIMITS, MODULE, SIZE_MOST, Inbox, seal
+from .door import accept_clients
 from .front import Front
 from .host import Host
 from .knowledge import Knowledge, read_knowledge
@@ -96,7 +97,7 @@
         self.inbox = Inbox(self.secret, self.rank, len(self.peers), self.loop.now(), *intakes)
         upstream = Upstream(self.loop, self.fleet, self.entry.name, scope, self.tracker)
         self.host = upstream.host = Host(self.loop, settings, self.metrics, upstream.begin, self._tell)
-        self.front = Front(self.loop, self.fleet, self.host, self.knowledge, scope)
+        self.front = Front(self.loop, self.fleet, self.host, lambda: self.knowledge, scope)
         self.metrics.gauges = {
             "connections": ("Clients' connections", lambda: len(self.front.connections)),
             "open_requests": ("Requests under way", lambda: len(self.host.exchanges)),
@@ -143,7 +144,7 @@
         except Exception as wrong:
             self.log.error("reload refused", why=str(wrong))
             return
-        self.knowledge = self.front.knowledge = fresh
+        self.knowledge = fresh
         self.log.info("reloaded", generation=fresh.generation.number)
 
     # -- node list and peers
@@ -177,11 +178,10 @@
     def _listen_admin(self, scope: Scope) -> None:
         listener = self.loop.world.listen(address(self.entry.admin))
 
-        def accept() -> None:
-            while True:
-                scope.spawn(self._admin, listener.accept(), kind=BACKGROUND, name="admin")
+        def take(stream: Stream) -> None:
+            scope.spawn(self._admin, stream, kind=BACKGROUND, name="admin")
 
-        scope.spawn(accept, kind=BACKGROUND, name="admin")
+        scope.spawn(accept_clients, self.loop, listener, take, kind=BACKGROUND, name="admin")
 
     def _admin(self, stream: Stream) -> None:
         parser, by = http1.RequestParser(), self.loop.now() + ADMIN_PATIENCE
--- a/orchidlane/gateway/respfront.py
+++ b/orchidlane/gateway/respfront.py
@@ -13,17 +13,17 @@
 
 from .. import resp
 from ..limits import LedgerError, Outcome
-from ..loop import REQUESTS, Closed, Expired, Listener, Loop, NotConnected, Scope, Stream
+from ..loop import REQUESTS, Closed, Expired, Listener, Loop, Scope, Stream
 from ..resp import ErrorReply, Simple
 from ..routes import Generation
 from .customers import Customer
+from .door import accept_clients
 from .knowledge import Knowledge
 from .limits import LimitService, NoAnswer
 from .settings import Fleet
 
 FLUSH = 16_384  # bytes of replies that are written at once
 TOKEN_MOST = 256  # bytes
-NO_DESCRIPTOR_WAIT = 20_000  # microseconds
 OK = Simple("OK")
 
 
@@ -103,21 +103,16 @@
         self.scope.spawn(self._accept, kind=REQUESTS, name="accept resp")
 
     def _accept(self) -> None:
-        while True:
-            try:
-                stream = self.listener.accept()
-            except Closed:
-                return
-            except NotConnected:
-                self.loop.sleep(NO_DESCRIPTOR_WAIT)
-                continue
-            self._numbers += 1
-            if len(self.sessions) >= self.terms.connections:
-                self.scope.spawn(self._turn_away, stream, kind=REQUESTS, name="resp turned away")
-                continue
-            session = Session(stream, self._numbers, self.limits, not self.terms.passwords)
-            self.sessions[session] = None
-            self.scope.spawn(self._client, session, kind=REQUESTS, name="resp client")
+        accept_clients(self.loop, self.listener, self._take_client)
+
+    def _take_client(self, stream: Stream) -> None:
+        self._numbers += 1
+        if len(self.sessions) >= self.terms.connections:
+            self.scope.spawn(self._turn_away, stream, kind=REQUESTS, name="resp turned away")
+            return
+        session = Session(stream, self._numbers, self.limits, not self.terms.passwords)
+        self.sessions[session] = None
+        self.scope.spawn(self._client, session, kind=REQUESTS, name="resp client")
 
     def _turn_away(self, stream: Stream) -> None:
         try:
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -202,6 +202,7 @@
     held = [socket.create_connection(("127.0.0.1", gateway.port)) for _ in range(150)]
     for _ in range(5):
         assert gateway.get(gateway.port, "/v1/nothing").startswith(b"HTTP/1.1 404 ")
+        assert gateway.get(gateway.admin, "/health").endswith(b"ready\n")
     for sock in held:
         sock.close()
     gateway.process.terminate()
