Toolkit: states in pages, audit over records, top, counts by plan; nothing unchecked unsaid

Need: a dump of 100,000 customers held the loop up for 455 ms, tools saw one customer at a time, a record with a flipped bit replayed with exit 0, and two builds of one version could judge each other's views.

A build is named by its version and a digest of the files that decide. replay exits 3 where a part could not be checked and counts it. Customers are found by number. The admin address has a file of its own.

--- a/benchmarks/index.py
+++ b/benchmarks/index.py
@@ -60,7 +60,7 @@
         write(path, requests)
         reader = record.SegmentReader(str(path))
         held: list = []
-        built = timed(lambda: held.append(record.RequestIndex(reader)))
+        built = timed(lambda: held.append(record.Index(reader, record.request_of)))
         index = held.pop()
         wanted = [n * (requests // LOOKS) for n in range(LOOKS)]
         look = timed(lambda: [index.entries(n) for n in wanted]) / LOOKS
--- a/orchidlane/cli/errors.py
+++ b/orchidlane/cli/errors.py
@@ -15,6 +15,7 @@
 from ..routes import DescriptionError
 
 UNUSABLE = 2
+UNCHECKED = 3  # no, but not all of it could be checked
 
 
 UNREADABLE = (ConfigError, DescriptionError, CustomersError, FormatError, ViewError, ValueError)
--- a/orchidlane/cli/main.py
+++ b/orchidlane/cli/main.py
@@ -1,6 +1,7 @@
 """The ``orchidlane`` command.
 
-Exit codes: 0 done, 1 the answer is no (a rule broken, a check failed), 2 the input can't be used.
+Exit codes: 0 done, 1 the answer is no (a rule broken, a check failed), 2 the input can't be used, 3 no fault
+found, but not all could be checked.
 """
 
 from __future__ import annotations
@@ -184,5 +185,15 @@
     click.echo(f"aim        {cls.aim / 1e3:g} ms, deadline {cls.deadline / 1e3:g} ms")
 
 
-for command in (tools.counts, tools.nodes, tools.diff, tools.replay_command, tools.explain):
+for command in (
+    tools.audit,
+    tools.completion,
+    tools.counts,
+    tools.diff,
+    tools.explain,
+    tools.nodes,
+    tools.replay_command,
+    tools.state,
+    tools.top,
+):
     main.add_command(command)
--- a/orchidlane/gateway/customers.py
+++ b/orchidlane/gateway/customers.py
@@ -10,6 +10,7 @@
 from .settings import Fleet
 
 NUMBER_MOST = 1 << 33  # customers' numbers lie below it
+NUMBER_DIGITS = 12
 
 
 class CustomerEntry(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
@@ -46,9 +47,15 @@
 class Customers:
     """Customers by the digest of their keys."""
 
-    def __init__(self, by_digest: dict[bytes, Customer], by_name: dict[bytes, Customer]) -> None:
+    def __init__(
+        self,
+        by_digest: dict[bytes, Customer],
+        by_name: dict[bytes, Customer],
+        by_number: dict[int, Customer],
+    ) -> None:
         self._by_digest = by_digest
         self._by_name = by_name
+        self._by_number = by_number
 
     def __len__(self) -> int:
         return len(self._by_digest)
@@ -61,6 +68,10 @@
         """The customer of a name or, failing that, of a key."""
         return self._by_name.get(name) or self.of_key(name)
 
+    def numbered(self, word: bytes) -> Customer | None:
+        """The customer whose number a word is, in decimal digits."""
+        return self._by_number.get(int(word)) if word.isdigit() and len(word) < NUMBER_DIGITS else None
+
 
 def load_customers(text: bytes, file: str, fleet: Fleet) -> Customers:
     """The customers of a file. Raises CustomersError."""
@@ -72,7 +83,7 @@
         raise CustomersError(f"{file}: {len(entries)} customers, allowed: {fleet.bounds.customers}")
     found: dict[bytes, Customer] = {}
     names: dict[bytes, Customer] = {}
-    numbers: set[int] = set()
+    numbers: dict[int, Customer] = {}
     plans = list(fleet.plans)
     for index, entry in enumerate(entries):
         place = f"{file}: customers[{index}]"
@@ -80,8 +91,7 @@
             raise CustomersError(f"{place}.id: found {entry.id}, allowed: once, 0 to {NUMBER_MOST - 1}")
         if entry.plan not in plans:
             raise CustomersError(f"{place}.plan: found {entry.plan!r}, allowed: {', '.join(plans)}")
-        numbers.add(entry.id)
-        customer = make_customer(entry, fleet, plans)
+        customer = numbers[entry.id] = make_customer(entry, fleet, plans)
         if entry.name and names.setdefault(entry.name.encode(), customer) is not customer:
             raise CustomersError(f"{place}.name: another customer has it")
         for key in entry.keys:
@@ -89,7 +99,7 @@
             if digest in found:
                 raise CustomersError(f"{place}.keys: a key that another customer has")
             found[digest] = customer
-    return Customers(found, names)
+    return Customers(found, names, numbers)
 
 
 def make_customer(entry: CustomerEntry, fleet: Fleet, plans: list[str]) -> Customer:
--- a/orchidlane/gateway/host.py
+++ b/orchidlane/gateway/host.py
@@ -7,6 +7,7 @@
 
 from .. import interface as api
 from ..loop import Loop
+from ..record import track
 from ..rules import Gateway
 from .answers import failed, refused
 from .customers import Customer
@@ -41,6 +42,7 @@
         self.exchanges: dict[int, Exchange] = {}
         self.runs: dict[tuple[int, int], AttemptRun] = {}  # attempts that are out
         self.rules = Gateway(settings, loop.world.random.getrandbits(64), loop.now())
+        track(self.rules)
         self.recorder: Recorder | None = None
         self._numbers = 0
         self._feeding = False
--- a/orchidlane/gateway/probe.py
+++ b/orchidlane/gateway/probe.py
@@ -5,17 +5,27 @@
 
 from __future__ import annotations
 
-from collections import Counter
-from dataclasses import dataclass
+import heapq
+from collections import Counter, defaultdict
+from dataclasses import dataclass, field, replace
+from typing import Any
 
 import msgspec
 
-from .. import __version__, record
 from .. import interface as api
+from .. import record
 from ..rules import Gateway
+from ..state import Account
 
 VIEW_FORMAT = 1
 NUMBER = (1 << 32) - 1  # of the request that is asked about
+UNHEARD = "its share while no other gateway has told of it"
+WITHOUT: dict[str, dict[str, Any]] = {  # limits of a plan, and how a plan without it looks
+    "the ceiling: this gateway's part of it": {"ceiling_rate": 0.0},
+    "the cap on requests open at once": {"open": 0},
+    "the quota": {"rate": 0.0},
+    UNHEARD: {},
+}
 PROBES = 64  # copies asked where the next request would go: the choice draws
 
 
@@ -48,7 +58,7 @@
     chosen = [customer[0]] if customer else []
     view = View(
         format=VIEW_FORMAT,
-        build=__version__,
+        build=record.build_name(),
         gateway=name,
         now=now,
         settings=msgspec.to_builtins(gateway.s),
@@ -65,15 +75,98 @@
     try:
         view = msgspec.msgpack.decode(data, type=View)
     except (msgspec.DecodeError, UnicodeDecodeError) as wrong:
-        raise ViewError(f"not a view that this build ({__version__}) can read: {wrong}") from None
-    if view.format != VIEW_FORMAT or view.build != __version__:
-        raise ViewError(
-            f"a view of build {view.build}, format {view.format}; this is {__version__}, {VIEW_FORMAT}: "
-            "its decisions could differ, so none is told"
-        )
+        raise ViewError(f"not a view that this build ({record.build_name()}) can read: {wrong}") from None
+    if view.format != VIEW_FORMAT:
+        raise ViewError(f"a view of format {view.format}; this build reads {VIEW_FORMAT}")
+    check_build(view.build)
     return view
 
 
+def check_build(build: str) -> None:
+    """Raises ViewError where what is told came from a build whose decisions could differ."""
+    own = record.build_name()
+    if build != own:
+        raise ViewError(f"told by build {build}, this is {own}: its decisions could differ, so none is told")
+
+
+def saved_view(reader: record.SegmentReader, number: int) -> View:
+    """The view of a customer, by its number, in a saved state. Raises ViewError, FormatError."""
+    header = reader.header
+    check_build(header.build)
+    row = next((row for row in reader.accounts() if row[0] == number), None)
+    if row is None:
+        raise ViewError(f"{reader.path}: no customer {number} is known there")
+    return View(
+        format=VIEW_FORMAT,
+        build=header.build,
+        gateway=header.gateway,
+        now=_moment(header),
+        settings=header.settings,
+        state=msgspec.structs.replace(
+            header.state,
+            accounts=[row],
+            idle_queue=[one for one in header.state.idle_queue if one == number],
+            changed=[one for one in header.state.changed if one == number],
+            requests=[],
+            detached=[],
+            asked=[],
+        ),
+        class_names=header.class_names,
+        plan_names=header.plan_names,
+        customer=(number, *row[1]),
+    )
+
+
+def _moment(header: record.Header) -> int:
+    return int(header.about.get("now", header.life))
+
+
+@dataclass
+class PlanCounts:
+    """What a gateway knows of a plan's customers at one moment."""
+
+    customers: int = 0
+    spent: float = 0.0
+    room: float = 0.0
+    closed: int = 0  # refused until a good part of the burst is back
+    unheard: int = 0  # no other gateway has told of them yet
+    out: int = 0  # attempts
+    pressed: list[tuple[float, int]] = field(default_factory=list)  # the least share of the burst first
+
+
+def plan_counts(reader: record.SegmentReader, most: int) -> dict[str, PlanCounts]:
+    """Each plan's counts, brought up to the state's moment by the module; ``most`` pressed ones of each.
+
+    Raises ViewError, FormatError. Memory does not grow with the customers.
+    """
+    header = reader.header
+    check_build(header.build)
+    state = msgspec.structs.replace(header.state, accounts=[], requests=[], detached=[], idle_queue=[])
+    gateway = record.restore(header.module_settings(), msgspec.structs.replace(state, changed=[], asked=[]))
+    gateway.now = _moment(header)
+    found: dict[str, PlanCounts] = defaultdict(PlanCounts)
+    for row in reader.accounts():
+        account = record.load_account(row)
+        gateway._lift(account)
+        _count(found[header.plan_names[account.plan]], account, gateway.s.plans[account.plan], most)
+    for counts in found.values():
+        counts.pressed = sorted((-share, -number) for share, number in counts.pressed)
+    return dict(found)
+
+
+def _count(counts: PlanCounts, account: Account, plan: api.Plan, most: int) -> None:
+    counts.customers += 1
+    counts.spent += account.total
+    counts.room += account.room
+    counts.closed += account.closed
+    counts.unheard += account.fresh
+    counts.out += account.out
+    share = account.room / plan.burst if plan.burst else 1.0
+    heapq.heappush(counts.pressed, (-share, -account.customer))
+    if len(counts.pressed) > most:
+        heapq.heappop(counts.pressed)
+
+
 def _copy(view: View) -> Gateway:
     try:
         settings = msgspec.convert(view.settings, api.Settings)
@@ -99,18 +192,18 @@
     """What the module would decide on one more request of the view's customer, and on what grounds."""
     if view.customer is None:
         raise ViewError("the view names no customer")
-    number, plan, first, size = view.customer
     gateway = _copy(view)
-    cls = gateway.s.classes[kind]
-    arrived = api.RequestArrived(NUMBER, number, plan, kind, units, cls.deadline, first, size, False)
-    actions = gateway.handle(view.now, arrived)
-    account = gateway.accounts[number]
+    actions = _ask(gateway, view, kind, units)
+    account = gateway.accounts[view.customer[0]]
     refused = next((one for one in actions if isinstance(one, api.Refuse)), None)
-    sent = any(isinstance(one, api.Send) for one in actions)
+    sent = _sends(actions)
     spent = units if sent else 0.0
+    why = "within the quota"
+    if refused is not None:
+        why = _cause(view, kind, units) if refused.beyond_quota else "no node is expected to answer in time"
     return Next(
         decision="sent" if sent else "refused" if refused else "held",
-        why=_why(gateway, refused, account.closed, account.fresh),
+        why=why,
         room=account.room + spent,
         limit=account.limit,
         total=account.total - spent,
@@ -119,16 +212,35 @@
     )
 
 
-def _why(gateway: Gateway, refused: api.Refuse | None, closed: bool, fresh: bool) -> str:
-    if refused is None:
-        return "within the quota"
-    if not refused.beyond_quota:
-        return "no node is expected to answer in time"
-    if closed:
-        return "closed until a good part of the burst is back"
-    return (
-        "beyond its share: no other gateway has told of it yet" if fresh else "beyond quota, cap or ceiling"
-    )
+def _ask(gateway: Gateway, view: View, kind: int, units: float) -> list[api.Action]:
+    assert view.customer is not None
+    number, plan, first, size = view.customer
+    deadline = gateway.s.classes[kind].deadline
+    arrived = api.RequestArrived(NUMBER, number, plan, kind, units, deadline, first, size, False)
+    return gateway.handle(view.now, arrived)
+
+
+def _sends(actions: list[api.Action]) -> bool:
+    return any(isinstance(one, api.Send) for one in actions)
+
+
+def _cause(view: View, kind: int, units: float) -> str:
+    """Which limit refuses, asked of copies that each lack one of them: no condition is written twice."""
+    assert view.customer is not None
+    number, plan = view.customer[:2]
+    found = []
+    for name, without in WITHOUT.items():
+        gateway = _copy(view)
+        account = gateway.accounts.get(number)
+        if name == UNHEARD and account is not None:
+            account.fresh = False
+        plans = list(gateway.s.plans)
+        plans[plan] = replace(plans[plan], **without)
+        gateway.s = replace(gateway.s, plans=tuple(plans))
+        refused = [one for one in _ask(gateway, view, kind, units) if isinstance(one, api.Refuse)]
+        if not any(one.beyond_quota for one in refused):
+            found.append(name)
+    return " or ".join(found) or "more than one limit at once"
 
 
 def next_nodes(view: View, kind: int) -> dict[bytes, int]:
--- a/orchidlane/gateway/program.py
+++ b/orchidlane/gateway/program.py
@@ -2,25 +2,22 @@
 
 from __future__ import annotations
 
-from urllib.parse import unquote_to_bytes
+from typing import Any
 
 import structlog
 
-from .. import http1
 from .. import interface as api
-from ..http1 import Malformed, Request
-from ..loop import BACKGROUND, CONTROL, PEERS, Closed, Expired, Loop, Scope, Stream
+from ..loop import BACKGROUND, CONTROL, PEERS, Loop, Scope
 from ..loop.world import Datagrams
 from ..routes import DescriptionError
+from .admin import Admin, Names
 from .datagram import LIMITS, MODULE, SIZE_MOST, Inbox, seal
-from .door import accept_clients
 from .front import Front
 from .host import Host
 from .knowledge import Knowledge, read_knowledge
 from .limits import LimitService
 from .metrics import Metrics
 from .nodelist import ListTracker
-from .probe import make_view
 from .recorder import Recorder
 from .respfront import RespFront
 from .settings import Fleet, address, module_settings
@@ -28,7 +25,6 @@
 from .watch import Watch
 
 DRAIN_LOOK = 10_000  # microseconds between two looks whether all is answered
-ADMIN_PATIENCE = 5_000_000  # microseconds
 
 
 class Program:
@@ -78,7 +74,7 @@
             scope.spawn(self.watch.keep, kind=BACKGROUND, name="node list's cache")
             scope.spawn(self._hear, kind=PEERS, name="peers")
             if self.entry.admin:
-                self._listen_admin(scope)
+                self.admin.listen(address(self.entry.admin), scope)
             self.front.listen(listener)
             if self.entry.resp:
                 self.resp.listen(world.listen(address(self.entry.resp)))
@@ -86,7 +82,7 @@
             self.log.info("started", listen=self.entry.listen, rank=self.rank)
             self._until_drained()
             if self.host.recorder is not None:
-                self.host.recorder.flush()
+                self.host.recorder.finish()
             scope.cancel()
         self.datagrams.close()
         self.log.info("ended")
@@ -95,7 +91,7 @@
         settings = module_settings(self.fleet, self.rank, self.knowledge.generation)
         intakes = self.fleet.peers.intake, self.fleet.limits.intake
         self.inbox = Inbox(self.secret, self.rank, len(self.peers), self.loop.now(), *intakes)
-        upstream = Upstream(self.loop, self.fleet, self.entry.name, scope, self.tracker)
+        upstream = Upstream(self.loop, self.fleet, self.entry.name, self.incarnation, scope, self.tracker)
         self.host = upstream.host = Host(self.loop, settings, self.metrics, upstream.begin, self._tell)
         self.front = Front(self.loop, self.fleet, self.host, lambda: self.knowledge, scope)
         self.metrics.gauges = {
@@ -106,14 +102,39 @@
         }
         self.limits = LimitService(self.loop, self.fleet, self.rank, self.host, self._tell_limits, scope)
         self.resp = RespFront(self.loop, self.fleet, self.limits, lambda: self.knowledge, scope)
+        self.admin = Admin(
+            self.loop,
+            self.entry.name,
+            self.host,
+            self.metrics,
+            lambda: self.knowledge,
+            self.about,
+            lambda: self.ready and not self.stopping,
+            self._names,
+        )
         cache = f"{self.fleet.state}/{self.entry.name}.nodes.json" if self.fleet.state else ""
         self.watch = Watch(self.loop, self.fleet, self.tracker, self.entry.name, cache, self._listed)
 
-    def _names(self) -> tuple[tuple[str, ...], tuple[str, ...]]:
+    def _names(self) -> Names:
         return self.knowledge.generation.class_names, tuple(self.fleet.plans)
 
+    def about(self) -> dict[str, Any]:
+        """What a state is told to be of: which moment of which life, and the generations it goes by."""
+        return {
+            "now": self.loop.now(),
+            "incarnation": self.incarnation,
+            "sequence": self.sequence,
+            "generation": self.knowledge.generation.number,
+            "list": [self.tracker.epoch, self.tracker.version, len(self.tracker.nodes)],
+            "open": len(self.host.exchanges),
+            "draining": self.stopping,
+            "client_margin": int(self.fleet.times.client_margin),
+        }
+
     def _record(self, scope: Scope, folder: str) -> None:
-        recorder = Recorder(self.loop, folder, self.entry.name, self.host, self._names(), self.log)
+        recorder = Recorder(
+            self.loop, folder, self.entry.name, self.host, self._names(), self.log, self.about
+        )
         self.host.recorder = recorder
         scope.spawn(recorder.work, kind=BACKGROUND, name="recorder")
 
@@ -172,52 +193,3 @@
                     self.host.feed(api.PeerMessage(sender, body))
                 else:
                     self.limits.hear(sender, body)
-
-    # -- health and metrics
-
-    def _listen_admin(self, scope: Scope) -> None:
-        listener = self.loop.world.listen(address(self.entry.admin))
-
-        def take(stream: Stream) -> None:
-            scope.spawn(self._admin, stream, kind=BACKGROUND, name="admin")
-
-        scope.spawn(accept_clients, self.loop, listener, take, kind=BACKGROUND, name="admin")
-
-    def _admin(self, stream: Stream) -> None:
-        parser, by = http1.RequestParser(), self.loop.now() + ADMIN_PATIENCE
-        try:
-            while (event := parser.next_event()) is None:
-                parser.receive(stream.recv(deadline=by))
-                if parser.ended:
-                    return
-            assert isinstance(event, Request)
-            status, body = self._admin_answer(event.target)
-            kind = (b"content-type", b"text/plain; charset=utf-8")
-            length = (b"content-length", b"%d" % len(body))
-            head = http1.response_head(status, [kind, length, (b"connection", b"close")])
-            stream.send(head + body, by)
-        except (Closed, Expired, Malformed):
-            pass
-        finally:
-            stream.close()
-
-    def _admin_answer(self, target: bytes) -> tuple[int, bytes]:
-        if target == b"/metrics":
-            return 200, self.metrics.page()
-        if target == b"/health":
-            fine = self.ready and not self.stopping
-            return (200, b"ready\n") if fine else (503, b"draining\n")
-        if target.partition(b"?")[0] == b"/view":
-            return self._view(target)
-        return 404, b"try /metrics, /health or /view\n"
-
-    def _view(self, target: bytes) -> tuple[int, bytes]:
-        """What tools ask: hosts, and one customer by its name."""
-        customer = None
-        if b"?customer=" in target:
-            name = unquote_to_bytes(target.partition(b"?customer=")[2])
-            found = self.knowledge.customers.named(name)
-            if found is None:
-                return 404, b"no customer has this name\n"
-            customer = found.number, found.plan, found.set_first, found.set_size
-        return 200, make_view(self.host.rules, self.entry.name, self.loop.now(), self._names(), customer)
--- a/orchidlane/gateway/recorder.py
+++ b/orchidlane/gateway/recorder.py
@@ -1,24 +1,26 @@
 """Writes what the module was told and answered into rotating segments.
  Entries gather in memory and are written together, so a crash loses at most ``EVERY`` or ``BUFFER`` of
-them. The state that a segment begins with is dumped between two events, so it is exact. A disk that fails
-ends the recording and nothing else.
+them. The state that a segment begins with is that of one moment between two events; its accounts follow in
+pages, a few at a time, while the gateway goes on (``record.Snapshot``). A disk that fails ends the recording
+and nothing else.
 """
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from typing import Any
 
-import msgspec
-
-from .. import __version__, record
 from .. import interface as api
+from .. import record
 from ..loop import Loop
 from ..record.segments import SUFFIX, pack_answer
+from .admin import Names, StateFrames
 from .host import Host
 
 EVERY = 100_000  # microseconds between two writes
 BUFFER = 1 << 18  # bytes: written at once
 SEGMENT = 16 << 20  # bytes of one segment
+PAGE_EVERY = 2_000  # microseconds between two pages of a state
 KEEP = 64  # segments of one gateway; the oldest goes
 
 
@@ -31,21 +33,24 @@
         folder: str,
         name: str,
         host: Host,
-        names: tuple[tuple[str, ...], tuple[str, ...]],
+        names: Names,
         log: Any,
+        about: Callable[[], dict[str, Any]],
     ) -> None:
         self.loop = loop
         self.folder = folder
         self.name = name
         self.host = host
-        self.class_names, self.plan_names = names
+        self.names = names
         self.log = log
+        self.about = about
         self.life = loop.now()
         self.number = -1
         self.path = ""
         self.failed = False
         self._buffer = bytearray()
         self._size = 0
+        self._state: StateFrames  # that the segment began with
         self._rotate()
 
     def event(self, now: int, event: api.Event, actions: list[api.Action]) -> None:
@@ -69,9 +74,23 @@
         while True:
             self.loop.sleep(EVERY)
             self.flush()
+            self._go_on_with_state()
             if self._size >= SEGMENT and not self.failed:
                 self._rotate()
 
+    def _go_on_with_state(self) -> None:
+        for page in self._state:
+            self._buffer += page
+            self._check()
+            self.loop.sleep(PAGE_EVERY)
+            if self.failed:
+                break
+
+    def finish(self) -> None:
+        """The gateway ends: write what has gathered, and the rest of the state."""
+        self._buffer += b"".join(self._state)
+        self.flush()
+
     def flush(self) -> None:
         """Write what has gathered."""
         if self._buffer and not self.failed:
@@ -82,19 +101,12 @@
     def _rotate(self) -> None:
         self.number += 1
         self.path = f"{self.folder}/{self.name}-{self.life:x}-{self.number:06}{SUFFIX}"
-        header = record.Header(
-            format=record.FORMAT,
-            build=__version__,
-            gateway=self.name,
-            life=self.life,
-            number=self.number,
-            settings=msgspec.to_builtins(self.host.settings),
-            state=record.dump(self.host.rules),
-            class_names=self.class_names,
-            plan_names=self.plan_names,
-        )
+        self._state = StateFrames(self.host, self.name, self.life, self.number, self.names, self.about())
+        head = self._state.head
+        if not self.host.rules.accounts:
+            head += b"".join(self._state)  # whole from the start, however soon a crash comes
         self._size = 0
-        self._write(record.pack_header(header))
+        self._write(head)
         old = self.number - KEEP
         if old >= 0:
             self.loop.world.remove_file(f"{self.folder}/{self.name}-{self.life:x}-{old:06}{SUFFIX}")
@@ -104,5 +116,6 @@
             self.loop.world.append_file(self.path, data)
         except OSError as wrong:
             self.failed = True
+            self._state.close()
             self._buffer.clear()
             self.log.error("recording ended", why=str(wrong))
--- a/orchidlane/gateway/upstream.py
+++ b/orchidlane/gateway/upstream.py
@@ -113,14 +113,16 @@
 class Upstream:
     """Begins attempts and follows each to its outcome."""
 
-    def __init__(self, loop: Loop, fleet: Fleet, name: str, scope: Scope, nodes: ListTracker) -> None:
+    def __init__(
+        self, loop: Loop, fleet: Fleet, name: str, incarnation: int, scope: Scope, nodes: ListTracker
+    ) -> None:
         self.loop = loop
         self.fleet = fleet
         self.scope = scope
         self.nodes = nodes
         self.host: Host
         self.pool = Pool(loop, fleet)
-        self.life = b"%s-%x" % (name.encode(), loop.now())
+        self.life = b"%s-%x" % (name.encode(), incarnation)
         self.via = VIA + name.encode()
         self.full_header = fleet.nodes.full_header.lower().encode()
         self.report_header = fleet.nodes.report_header.lower().encode()
--- a/orchidlane/lab/audit.py
+++ b/orchidlane/lab/audit.py
@@ -9,10 +9,14 @@
 from bisect import bisect_right
 from collections import Counter, defaultdict
 from dataclasses import dataclass
+from pathlib import Path
 from typing import Any
 
+import msgspec
+
 from .. import interface as api
-from .records import Arrival, Away, Extra, Fell, Record, Run, Take, Told, Try
+from ..record import TrueStore
+from .records import TERMS, Arrival, Away, Extra, Fell, Record, Run, Take, Told, Try, decode
 
 
 @dataclass(frozen=True, slots=True)
@@ -106,6 +110,27 @@
     )
 
 
+def audit_folder(folder: str) -> tuple[Verdict, list[Arrival]] | None:
+    """The verdict over a kept day, and what arrived at its nodes; None where the folder holds none.
+
+    Raises ValueError where a file can't be read.
+    """
+    terms = Path(folder, TERMS)
+    if not terms.exists():
+        return None
+    records: list[Record] = []
+    for path in sorted(Path(folder).glob("*.records")):
+        try:
+            records += decode(path.read_bytes())
+        except msgspec.DecodeError as wrong:
+            raise ValueError(f"{path}: {wrong}") from None
+    try:
+        known = msgspec.json.decode(terms.read_bytes(), type=Terms)
+    except msgspec.DecodeError as wrong:
+        raise ValueError(f"{terms}: {wrong}") from None
+    return audit(records, known), [one for one in records if isinstance(one, Arrival)]
+
+
 def _owed(one: Try, gaps: list[Away], slack: int) -> bool:
     """Whether the try counts: all do that were answered in time, the others unless their gateway was away.
 
@@ -147,19 +172,12 @@
 
 def _beyond(draws: list[tuple[int, int, float]], terms: Terms) -> float:
     """Units that one true store for each customer would not have held; such a draw takes nothing of it."""
-    stores: dict[int, tuple[float, int]] = {}
+    stores: dict[int, TrueStore] = {}
     beyond = 0.0
     for at, customer, units in draws:
         rate, burst = terms.quotas.get(customer, (0.0, 0.0))
-        if not rate:
-            continue
-        store, since = stores.get(customer, (burst, at))
-        store = min(burst, store + rate * (at - since) / 1_000_000)
-        if store >= units:
-            store -= units
-        else:
+        if rate and not stores.setdefault(customer, TrueStore(rate, burst, at)).take(at, units):
             beyond += units
-        stores[customer] = store, at
     return beyond
 
 
@@ -244,15 +262,13 @@
 
 def _ceiling_worst(draws: list[tuple[int, int, float]], terms: Terms) -> float:
     """The deepest that any ceiling's store went below nothing, over its slack."""
-    stores: dict[int, tuple[float, int]] = {}
+    stores: dict[int, TrueStore] = {}
     worst = 0.0
     for at, customer, units in draws:
         ceiling = terms.ceilings.get(customer)
         if ceiling is None:
             continue
         rate, burst, slack = ceiling
-        store, since = stores.get(customer, (burst, at))
-        store = min(burst, store + rate * (at - since) / 1_000_000) - units
-        stores[customer] = store, at
-        worst = max(worst, -store / slack)
+        below = stores.setdefault(customer, TrueStore(rate, burst, at)).force(at, units)
+        worst = max(worst, below / slack)
     return worst
--- a/orchidlane/lab/backing.py
+++ b/orchidlane/lab/backing.py
@@ -205,4 +205,6 @@
         runner = Runner(loop, plan, backing)
         found: list[Verdict] = []
         loop.run(lambda: found.append(runner.run()))
+        if folder is not None:
+            runner.keep(folder)
         return found[0]
--- a/orchidlane/lab/day.py
+++ b/orchidlane/lab/day.py
@@ -27,7 +27,7 @@
 from .audit import Terms, Verdict, audit
 from .clients import Crowd, Kind, Subscriber
 from .node import FAULTS, Faults, NodeSpec, Work
-from .records import Away, Record, decode
+from .records import CLIENTS, TERMS, Away, Record, decode, encode
 from .standins import NodeList, Relay
 from .takers import Takers
 
@@ -381,6 +381,11 @@
             quotas=quotas,
         )
 
+    def keep(self, folder: str) -> None:
+        """Write what clients and the list saw, and the rules' figures, beside the nodes' records."""
+        Path(folder, CLIENTS).write_bytes(b"".join(map(encode, self.records)))
+        Path(folder, TERMS).write_bytes(msgspec.json.encode(self.terms(), enc_hook=int))
+
     def _node_records(self) -> list[Record]:
         found: list[Record] = []
         for spec in self.plan.nodes:
--- a/orchidlane/lab/records.py
+++ b/orchidlane/lab/records.py
@@ -6,6 +6,8 @@
 
 import msgspec
 
+CLIENTS, TERMS = "clients.records", "terms.json"  # files beside the nodes' records of a kept day
+
 
 class Arrival(msgspec.Struct, frozen=True, tag="arrival"):
     """A node read the head of an attempt. Times are microseconds of the world's clock."""
--- /dev/null
+++ b/orchidlane/record/build.py
@@ -0,0 +1,25 @@
+"""What this build is called: its version and a digest over the sources that decide.
+
+Two builds of one version may still decide differently, as while a change is tried out. A tool that judges by
+a copy of the module may only do so for a gateway whose module is the very same, so the name holds both.
+"""
+
+from __future__ import annotations
+
+import hashlib
+from functools import cache
+from pathlib import Path
+
+from .. import __version__
+
+DECIDES = ("rules.py", "state.py", "messages.py", "interface.py")
+
+
+@cache
+def build_name() -> str:
+    """``version+digest``: equal where the decisions are."""
+    digest = hashlib.blake2b(digest_size=6)
+    folder = Path(__file__).parent.parent
+    for name in DECIDES:
+        digest.update((folder / name).read_bytes())
+    return f"{__version__}+{digest.hexdigest()}"
--- a/orchidlane/record/dump.py
+++ b/orchidlane/record/dump.py
@@ -46,8 +46,11 @@
     detached: list[list[Any]]  # attempts whose request has ended
 
 
-def dump(gateway: Gateway, customers: list[int] | None = None) -> Dump:
-    """The state of a module; with ``customers`` only their accounts, and no requests under way."""
+def dump(gateway: Gateway, customers: list[int] | None = None, accounts: bool = True) -> Dump:
+    """The state of a module; with ``customers`` only their accounts, and no requests under way.
+
+    Without ``accounts`` all but these: a ``Snapshot`` brings them page by page.
+    """
     hosts = _Hosts(gateway)
     whole = customers is None
     chosen = gateway.accounts.values() if customers is None else _some(gateway, customers)
@@ -64,7 +67,7 @@
         for key, (attempt, request) in gateway.attempts.items()
         if whole and id(attempt) not in held
     ]
-    kept = {account.customer for account in chosen}
+    kept = () if whole else {account.customer for account in chosen}
     pools = [hosts.places(gateway.warm.hosts), hosts.places(gateway.cold.hosts)]
     cells = [(cell, hosts.places(pool.hosts)) for cell, pool in gateway.cells.items()]
     zones = [(zone, hosts.places(pool.hosts)) for zone, pool in gateway.zones.items()]
@@ -73,9 +76,9 @@
         format=FORMAT,
         plain={name: copy(getattr(gateway, name)) for name in PLAIN},  # a list goes on changing
         random=_dump_random(gateway),
-        accounts=[_dump_account(account) for account in chosen],
-        idle_queue=[customer for customer in gateway.idle_queue if customer in kept],
-        changed=[customer for customer in gateway.changed if customer in kept],
+        accounts=[dump_account(account) for account in chosen] if accounts else [],
+        idle_queue=list(gateway.idle_queue) if whole else [one for one in gateway.idle_queue if one in kept],
+        changed=list(gateway.changed) if whole else [one for one in gateway.changed if one in kept],
         heard=list(gateway.heard.items()),
         asked=list(gateway.asked) if whole else [],
         hosts=hosts.rows(),  # after all that name a host
@@ -140,7 +143,8 @@
     return [known.seen, known.slow, known.fails]
 
 
-def _dump_account(account: Account) -> list[Any]:
+def dump_account(account: Account) -> list[Any]:
+    """One account as a row of ``Dump.accounts``."""
     values = [getattr(account, name) for name in ACCOUNT]
     values[ACCOUNT.index("counts")] = [(rank, *count) for rank, count in account.counts.items()]
     return values
@@ -182,7 +186,9 @@
             setattr(made, name, list(value) if isinstance(value, list | tuple) else value)
         version, numbers, gauss = kept.random
         made.random.setstate((version, tuple(numbers), gauss))
-        made.accounts = {row[0]: _account(row) for row in kept.accounts}
+        made.accounts = {row[0]: load_account(row) for row in kept.accounts}
+        for customer in (*kept.idle_queue, *kept.changed):
+            made.accounts[customer]  # one that is not there does not fit: the module would stumble over it
         made.idle_queue = deque(kept.idle_queue)
         made.changed = dict.fromkeys(kept.changed)
         made.heard = dict(kept.heard)
@@ -253,7 +259,8 @@
     return host
 
 
-def _account(row: list[Any]) -> Account:
+def load_account(row: list[Any]) -> Account:
+    """The account of a row of ``Dump.accounts``."""
     values = dict(zip(ACCOUNT, row, strict=True))
     values["key"] = tuple(values["key"])
     values["counts"] = {rank: (start, value) for rank, start, value in values["counts"]}
--- a/orchidlane/record/replay.py
+++ b/orchidlane/record/replay.py
@@ -12,8 +12,8 @@
 from .. import interface as api
 from ..interface import Outcome
 from ..rules import Gateway
-from .dump import restore
-from .segments import Broken, Entry, Header, SegmentReader
+from .dump import Dump, restore
+from .segments import CutHead, Entry, Header, SegmentReader, frames_behind
 
 TOOK_USUAL = 50_000  # microseconds: an answer time where the record has none of the class
 
@@ -39,39 +39,84 @@
         ]
 
 
+@dataclass(frozen=True)
+class Unchecked:
+    """A part of a record that was not checked; ``torn``: the tail that a killed gateway was writing."""
+
+    why: str
+    events: int  # whole entries that lie there
+    torn: bool
+
+
 @dataclass
 class Replay:
-    """What a replay found."""
+    """What a replay of one life found."""
 
     segments: int = 0
     events: int = 0
-    lives: int = 0
     difference: Difference | None = None
-    broken: list[Broken] = field(default_factory=list)
+    unchecked: list[Unchecked] = field(default_factory=list)
+
+    @property
+    def whole(self) -> bool:
+        """Whether all that a crash may leave was checked."""
+        return all(one.torn for one in self.unchecked)
 
 
 def replay(paths: list[str]) -> Replay:
-    """Replay segments in order. A segment that goes on a life is checked against the module as it stands."""
-    found, gateway, life, number = Replay(), None, -1, -1
+    """Replay the segments of one life in order, up to the first difference. Raises FormatError.
+
+    A segment that goes on where the last one ended is checked against the module as it stands; one with a gap
+    before it against the state at its own head.
+    """
+    found, gateway, number = Replay(), None, -1
     for path in paths:
-        reader = SegmentReader(path)
+        try:
+            reader = SegmentReader(path)
+        except CutHead as cut:
+            found.unchecked.append(Unchecked(str(cut), 0, torn=path == paths[-1]))
+            gateway = None
+            continue
         try:
             header = reader.header
-            if gateway is None or header.life != life or header.number != number + 1 or found.broken:
-                gateway = restore(header.module_settings(), header.state)
-                found.lives += header.life != life
-            life, number = header.life, header.number
+            if gateway is None or header.number != number + 1:
+                gateway = _at_head(reader, found, last=path == paths[-1])
+            number = header.number
+            if gateway is None:
+                continue
             found.segments += 1
             found.difference = _replay_segment(reader, gateway, found)
         finally:
             reader.close()
-        if reader.broken is not None:
-            found.broken.append(reader.broken)
         if found.difference is not None:
             break
+        if reader.broken is not None:
+            gateway = None
+            behind = frames_behind(path, reader.broken.place)
+            torn = reader.broken.cut and not behind and path == paths[-1]
+            found.unchecked.append(Unchecked(str(reader.broken), behind, torn))
     return found
 
 
+def _at_head(reader: SegmentReader, found: Replay, last: bool) -> Gateway | None:
+    """The module as it was at a segment's head; None where its state was not written to its end."""
+    try:
+        state = reader.state()
+    except CutHead as cut:
+        events = sum(entry.event is not None for entry in reader)
+        found.unchecked.append(Unchecked(str(cut), events, torn=last))
+        return None
+    return restore(reader.header.module_settings(), state)
+
+
+def lives_of(paths: list[str]) -> list[list[str]]:
+    """The segments of each life of each gateway, in their order."""
+    lives: dict[str, list[str]] = {}
+    for path in paths:
+        lives.setdefault(path.rpartition("-")[0], []).append(path)
+    return list(lives.values())
+
+
 def _replay_segment(reader: SegmentReader, gateway: Gateway, found: Replay) -> Difference | None:
     for entry in reader:
         if entry.event is None:
@@ -99,9 +144,9 @@
     each attempt that the record knows. Timers are the module's own. An attempt that the record does not
     know is taken to be served in the usual time of its class.
     """
-    header, entries = _one_life(paths)
+    header, state, entries = _one_life(paths)
     before = header.module_settings()
-    world = _Otherwise(header, settings or before, entries)
+    world = _Otherwise(state, settings or before, entries)
     world.run()
     names = plans or header.plan_names
     recorded: dict[tuple[str, str], list[int]] = {}
@@ -120,29 +165,30 @@
     return names[place] if place < len(names) else str(place)
 
 
-def _one_life(paths: list[str]) -> tuple[Header, list[Entry]]:
-    """The first life of a record with its entries that are events."""
+def _one_life(paths: list[str]) -> tuple[Header, Dump, list[Entry]]:
+    """The first life of a record with its state and its entries that are events."""
     first: Header | None = None
+    state: Dump | None = None
     entries: list[Entry] = []
     for path in paths:
         reader = SegmentReader(path)
         try:
             if first is None:
-                first = reader.header
+                first, state = reader.header, reader.state()
             if reader.header.life != first.life:
                 break
             entries += [entry for entry in reader if entry.event is not None]
         finally:
             reader.close()
-    assert first is not None
-    return first, entries
+    assert first is not None and state is not None
+    return first, state, entries
 
 
 class _Otherwise:
     """Plays a record's outside against a module with other settings."""
 
-    def __init__(self, header: Header, settings: api.Settings, entries: list[Entry]) -> None:
-        self.gateway = restore(settings, header.state)
+    def __init__(self, state: Dump, settings: api.Settings, entries: list[Entry]) -> None:
+        self.gateway = restore(settings, state)
         self.entries = entries
         self.arrivals: dict[int, api.RequestArrived | api.TakeArrived] = {}
         self.recorded_sent: set[int] = set()
--- a/orchidlane/record/segments.py
+++ b/orchidlane/record/segments.py
@@ -1,10 +1,14 @@
 """Segments of a traffic record: a head, then frames of length, checksum and body.
 
     7 bytes magic, then frames: u32 length, u32 CRC-32 of the body, body (MessagePack), little-endian
- The first frame is the ``Header``: who recorded, with which build and settings, and the module's whole
-state, so that each segment can be replayed without those before it. The others are entries. A frame that is
-cut or does not fit its checksum ends what is read of a segment; everything before it counts, nothing after
-it is guessed.
+
+The first frame is the ``Header``: who recorded, with which build and settings, and the module's state without
+its accounts. These follow in pages among the entries, as they were at the head (``Snapshot``), so that each
+segment can be replayed without those before it. A state alone is a segment without entries. A frame that is
+cut or does not fit its checksum ends what is read of a segment; everything before it counts, nothing after it
+is guessed.
+
+Format 1 had the accounts in the head's state and no pages; it is read as well.
 """
 
 from __future__ import annotations
@@ -22,16 +26,19 @@
 from .dump import Dump
 
 MAGIC = b"OLREC1\n"
-FORMAT = 1
+FORMAT, FORMATS = 2, (1, 2)  # written, read
 FRAME = struct.Struct("<II")
 FRAME_MOST = 1 << 30
-READ = 1 << 16  # bytes read at a time: a reader's memory does not grow with the segment
+BEHIND_MOST = 64 << 20  # bytes looked at behind a broken frame
 SUFFIX = ".olr"
-EVENT, ANSWER = 0, 1  # kinds of entries
+EVENT, ANSWER, ACCOUNTS = 0, 1, 2  # kinds of entries
 
 
 class Header(msgspec.Struct, frozen=True):
-    """What a segment begins with; ``life`` is the recorder's start, ``number`` counts its segments."""
+    """What a segment begins with; ``life`` is the recorder's start, ``number`` counts its segments.
+
+    ``about`` tells of the moment: the clock, generations, the list, requests under way and the like.
+    """
 
     format: int
     build: str
@@ -42,6 +49,7 @@
     state: Dump
     class_names: tuple[str, ...] = ()
     plan_names: tuple[str, ...] = ()
+    about: dict[str, Any] = {}
 
     def module_settings(self) -> api.Settings:
         """The settings as the module takes them. Raises FormatError."""
@@ -52,21 +60,29 @@
 
 
 class Entry(NamedTuple):
-    """One entry: an event with its actions, or ``facts`` (request, status, kind, microseconds)."""
+    """One entry: an event with its actions, ``facts`` (request, status, kind, microseconds), or a page."""
 
     now: int
     event: api.Event | None
     actions: list[api.Action]
     facts: tuple[Any, ...]
     place: int  # of its frame in the segment, in bytes
+    rows: tuple[Any, ...] | None = None  # a page of accounts, as they were at the head
+    last: bool = False  # the state is whole with this page
 
 
 class Broken(Exception):
-    """A segment that ends before its end; ``place`` is where, in bytes."""
+    """A segment that ends before its end; ``place`` is where, in bytes, ``cut`` whether the file ends there."""
 
-    def __init__(self, file: str, place: int, why: str) -> None:
+    def __init__(self, file: str, place: int, why: str, cut: bool) -> None:
         super().__init__(f"{file}: byte {place}: {why}")
+        self.file = file
         self.place = place
+        self.cut = cut
+
+
+class CutHead(FormatError):
+    """A segment whose head was not written to its end: its gateway ended meanwhile."""
 
 
 def frame(body: bytes) -> bytes:
@@ -85,6 +101,11 @@
     return frame(msgspec.msgpack.encode(body))
 
 
+def pack_accounts(now: int, rows: list[list[Any]], last: bool) -> bytes:
+    """A page of accounts as they were at the segment's head; ``last`` where the state is whole with it."""
+    return frame(msgspec.msgpack.encode((ACCOUNTS, now, rows, last)))
+
+
 def pack_answer(now: int, request: int, status: int, kind: str, span: int) -> bytes:
     """What a client was answered."""
     return frame(msgspec.msgpack.encode((ANSWER, now, request, status, kind, span)))
@@ -97,21 +118,53 @@
         self.path = path
         self.broken: Broken | None = None
         self._file = open(path, "rb")  # noqa: SIM115 (closed by close)
-        if self._file.read(len(MAGIC)) != MAGIC:
+        magic = self._file.read(len(MAGIC))
+        if magic != MAGIC:
             self.close()
+            if MAGIC.startswith(magic):
+                raise CutHead(f"{path}: its head is cut")
             raise FormatError(f"{path}: not a segment of a record")
         body = self._frame()
         if body is None:
             self.close()
-            raise FormatError(f"{path}: its head is cut or broken")
+            if self.broken is None or self.broken.cut:
+                raise CutHead(f"{path}: its head is cut")
+            raise FormatError(f"{path}: its head is broken")
         try:
             self.header = msgspec.msgpack.decode(body, type=Header)
         except (msgspec.DecodeError, UnicodeDecodeError) as wrong:
             self.close()
             raise FormatError(f"{path}: a head that this build can't read: {wrong}") from None
-        if self.header.format != FORMAT:
+        self._begin = self._file.tell()
+        if self.header.format not in FORMATS:
             self.close()
-            raise FormatError(f"{path}: format {self.header.format}; this build reads {FORMAT}")
+            allowed = " and ".join(map(str, FORMATS))
+            raise FormatError(f"{path}: format {self.header.format}; this build reads {allowed}")
+
+    def state(self) -> Dump:
+        """The module's whole state at the head. Raises CutHead where not all of it was written.
+
+        Reading goes on at the first entry afterwards.
+        """
+        rows = list(self.accounts())
+        self._file.seek(self._begin)
+        return msgspec.structs.replace(self.header.state, accounts=rows)
+
+    def accounts(self) -> Iterator[list[Any]]:
+        """The accounts as they were at the head, one after another: memory is that of a page.
+
+        Raises CutHead at the end where not all of them were written.
+        """
+        yield from self.header.state.accounts
+        if self.header.format == 1:
+            return
+        self._file.seek(self._begin)
+        for entry in self:
+            yield from entry.rows or ()
+            if entry.last:
+                return
+        self.broken = None  # that of a later pass is what counts
+        raise CutHead(f"{self.path}: the state at its head was not written to its end")
 
     def close(self) -> None:
         """Let the file go."""
@@ -123,7 +176,7 @@
         if not head:
             return None
         if len(head) < FRAME.size:
-            self._end(place, "the file ends within a frame")
+            self._end(place, "the file ends within a frame", cut=True)
             return None
         length, checksum = FRAME.unpack(head)
         if length > FRAME_MOST:
@@ -131,18 +184,19 @@
             return None
         body = self._file.read(length)
         if len(body) < length:
-            self._end(place, "the file ends within a frame")
+            self._end(place, "the file ends within a frame", cut=True)
             return None
         if zlib.crc32(body) != checksum:
             self._end(place, "a frame does not fit its checksum")
             return None
         return body
 
-    def _end(self, place: int, why: str) -> None:
+    def _end(self, place: int, why: str, cut: bool = False) -> None:
         """Nothing after this place is read."""
-        self.broken = Broken(self.path, place, why)
+        self.broken = Broken(self.path, place, why, cut)
 
     def __iter__(self) -> Iterator[Entry]:
+        """All that follows, pages of accounts too."""
         while True:
             place = self._file.tell()
             body = self._frame()
@@ -150,6 +204,11 @@
                 return
             yield _entry(body, place, self.path)
 
+    def entries(self, place: int | None = None) -> Iterator[Entry]:
+        """All entries but the pages of accounts, from the first or from a place on."""
+        self._file.seek(self._begin if place is None else place)
+        return (entry for entry in self if entry.rows is None)
+
     def at(self, place: int) -> Entry:
         """The entry whose frame begins there. Raises FormatError."""
         self._file.seek(place)
@@ -167,11 +226,43 @@
             return Entry(now, unpack_event(event), [unpack_action(one) for one in actions], (), place)
         if kind == ANSWER:
             return Entry(now, None, [], tuple(rest), place)
+        if kind == ACCOUNTS:
+            rows, last = rest
+            return Entry(now, None, [], (), place, tuple(rows), bool(last))
     except (msgspec.DecodeError, ValueError, TypeError) as wrong:
         raise FormatError(f"{path}: byte {place}: {wrong}") from None
     raise FormatError(f"{path}: byte {place}: an entry of a later build")
 
 
+def frames_behind(path: str, place: int) -> int:
+    """How many whole frames lie behind a broken one, so that a report can say what was not checked.
+
+    A torn tail has none behind it. They are found by the broken frame's length or, where that is what broke,
+    by looking for the next frame that fits its checksum; none of them is read.
+    """
+    with open(path, "rb") as file:
+        file.seek(place)
+        data = file.read(BEHIND_MOST)
+    length, _ = FRAME.unpack_from(data) if len(data) >= FRAME.size else (0, 0)
+    at = FRAME.size + length
+    if not _fits(data, at):
+        at = next((at for at in range(1, len(data)) if _fits(data, at)), len(data))
+    frames = 0
+    while _fits(data, at):
+        frames += 1
+        at += FRAME.size + FRAME.unpack_from(data, at)[0]
+    return frames
+
+
+def _fits(data: bytes, at: int) -> bool:
+    """Whether a whole frame that is not empty stands there."""
+    if at + FRAME.size > len(data):
+        return False
+    length, checksum = FRAME.unpack_from(data, at)
+    begin = at + FRAME.size
+    return 0 < length <= len(data) - begin and zlib.crc32(data[begin : begin + length]) == checksum
+
+
 def read_folder(folder: str) -> list[str]:
     """The segments of a record in their order. Raises FormatError where there is none."""
     found = sorted(str(path) for path in Path(folder).glob(f"*{SUFFIX}"))
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -16,7 +16,7 @@
 from click.testing import CliRunner
 
 from orchidlane.cli.main import main
-from orchidlane.cli.up import _sums
+from orchidlane.cli.screen import sums
 from orchidlane.lab.benchday import map_bench_day
 from orchidlane.lab.day import load_day
 
@@ -94,7 +94,7 @@
         'orchidlane_attempts_total{outcome="served"} 7.0\norchidlane_attempts_total{outcome="full"} 2.0\n'
         "orchidlane_open_requests 5.0\n"
     )
-    found = _sums(page)
+    found = sums(page)
     assert (found["served"], found["sent"], found["bad"], found["open"]) == (7, 9, 2, 5)
 
 
--- a/tests/test_record.py
+++ b/tests/test_record.py
@@ -160,7 +160,7 @@
     begun = len(story.log)
     for _ in range(steps):
         story.step()
-    data = record.pack_header(header)
+    data = record.pack_header(header) + record.pack_accounts(1, [], last=True)
     for now, event, actions in story.log[begun:]:
         data += record.pack_entry(now, event, actions)
     path.write_bytes(data)
@@ -172,17 +172,21 @@
     log = segment(Story(5), 25, whole)
     data = whole.read_bytes()
     reader = record.SegmentReader(str(whole))
-    places = [one.place for one in reader]
+    places = [one.place for one in reader if one.event is not None]
     assert reader.broken is None
     cut = tmp_path / "cut.olr"
     for size in range(len(data)):
         cut.write_bytes(data[:size])
         if size < places[0]:
-            with pytest.raises(record.FormatError):
-                record.SegmentReader(str(cut))
+            with pytest.raises(record.CutHead):
+                record.SegmentReader(str(cut)).state()
+            found = record.replay([str(cut)])
+            assert (found.events, found.whole, len(found.unchecked)) == (0, True, 1)
             continue
+        replayed = record.replay([str(cut)])
+        assert (replayed.difference, replayed.whole) == (None, True)
         reader = record.SegmentReader(str(cut))
-        found = [(one.now, one.event, one.actions) for one in reader]
+        found = [(one.now, one.event, one.actions) for one in reader if one.event is not None]
         reader.close()
         assert found == log[: len(found)]
         assert (reader.broken is None) == (size in [*places, len(data)])
@@ -193,13 +197,13 @@
     whole = tmp_path / "a.olr"
     log = segment(Story(6), 12, whole)
     data = whole.read_bytes()
-    first = next(iter(record.SegmentReader(str(whole)))).place
+    first = next(one.place for one in record.SegmentReader(str(whole)) if one.event is not None)
     for place in range(first, len(data)):
         spoilt = bytearray(data)
         spoilt[place] ^= 1 << place % 8
         whole.write_bytes(spoilt)
         reader = record.SegmentReader(str(whole))
-        found = [(one.now, one.event, one.actions) for one in reader]
+        found = [(one.now, one.event, one.actions) for one in reader if one.event is not None]
         reader.close()
         assert reader.broken is not None
         assert found == log[: len(found)]
@@ -252,7 +256,7 @@
     path = tmp_path / "a.olr"
     segment(Story(11), 300, path)
     reader = record.SegmentReader(str(path))
-    index = record.RequestIndex(reader)
+    index = record.Index(reader, record.request_of)
     again = record.SegmentReader(str(path))
     scanned = [one for one in again if getattr(one.event, "request", None) == 5]
     assert [e for e in index.entries(5) if not isinstance(e.event, api.TimerFired)] == scanned
@@ -263,10 +267,10 @@
 def test_records_of_each_released_format_are_read(file):
     """Kept files of earlier formats: read whole, and their states restored, by every later build."""
     reader = record.SegmentReader(str(file))
-    entries = list(reader)
+    entries = [entry for entry in reader if entry.event is not None]
     assert reader.broken is None
     assert len(entries) == 160
-    gateway = record.restore(reader.header.module_settings(), reader.header.state)
+    gateway = record.restore(reader.header.module_settings(), reader.state())
     kinds = {type(one.event) for one in entries}
     assert {api.RequestArrived, api.TakeArrived, api.AttemptEnded, api.PeerMessage} <= kinds
     for one in entries:
@@ -308,6 +312,7 @@
     loop, said = Loop(RealWorld(1)), {}
     runner = Runner(loop, plan, backing)
     admins = [one.admin for one in plan.fleet.gateways]
+    fleet_file = str(tmp_path / "gw-0.cue")
 
     def ask() -> None:
         while runner.crowd is None or runner.crowd.sent < 40:
@@ -315,6 +320,11 @@
         said["counts"] = loop.world.aside(lambda: run("counts", admins[0], "subscriber 3", "--json"))
         said["none"] = loop.world.aside(lambda: run("counts", admins[0], "nobody"))
         said["nodes"] = loop.world.aside(lambda: run("nodes", admins[1], "--json"))
+        said["state"] = loop.world.aside(lambda: run("state", admins[2], "--json"))
+        said["plan"] = loop.world.aside(lambda: run("counts", fleet_file, "--plan", "amplio", "--json"))
+        said["all"] = loop.world.aside(lambda: run("counts", fleet_file, "subscriber 3", "--json"))
+        said["number"] = loop.world.aside(lambda: run("counts", admins[0], "4", "--json"))
+        said["top"] = loop.world.aside(lambda: run("top", fleet_file, "--json"))
         said["diff"] = loop.world.aside(lambda: run("diff", admins[0], admins[1], "subscriber 3", "--json"))
 
     loop.run(lambda: (loop.spawn(ask, process=loop.home), runner.run()))
@@ -328,6 +338,17 @@
     assert len(nodes) == len(plan.nodes)
     assert sum(node["next"] for node in nodes) > 0
     assert said["diff"][0] in (0, 1)
+    state = json.loads(said["state"][1])
+    assert (state["gateway"], state["draining"], len(state["peers heard"])) == ("gw-2", False, 2)
+    assert state["build"] == record.build_name()
+    plans = json.loads(said["plan"][1])
+    assert [row["gateway"] for row in plans] == ["gw-0", "gw-1", "gw-2"]
+    assert all(row["customers"] > 0 and row["pressed"] for row in plans)
+    assert [row["plan"] for row in json.loads(said["all"][1])] == ["amplio"] * 3
+    assert json.loads(said["number"][1])["plan"] == "amplio"  # the same customer by its number
+    rows = json.loads(said["top"][1])
+    assert all(row["up"] and row["nodes"] == len(plan.nodes) for row in rows)
+    assert sum(row["served"] for row in rows) > 0
     code, text = run("replay", str(tmp_path), "--json")
     assert code == 0, text
     assert json.loads(text)["events"] > 1_000
