--- a/orchidlane/cli/main.py
+++ b/orchidlane/cli/main.py
@@ -44,12 +44,16 @@
 @click.option(
     "--record", "folder", type=click.Path(file_okay=False, exists=True), help="Record traffic here."
 )
-def gateway(settings: str, rank: int, folder: str | None) -> None:
+@click.option("--take-over", is_flag=True, help="Go on in place of the process that runs now; see `upgrade`.")
+def gateway(settings: str, rank: int, folder: str | None, take_over: bool) -> None:
     """Run one gateway of the fleet until SIGTERM."""
     from .run import run_gateway
 
     with clear_errors():
-        run_gateway(load_fleet(settings), rank, folder)
+        failed = run_gateway(load_fleet(settings), rank, folder, take_over)
+    if failed:
+        click.echo(f"the take-over ended: {failed}", err=True)
+        sys.exit(1)
 
 
 @main.command()
--- a/orchidlane/cli/run.py
+++ b/orchidlane/cli/run.py
@@ -17,17 +17,22 @@
 from ..loop import CONTROL, Loop, RealWorld, Scope
 
 
-def run_gateway(fleet: Fleet, rank: int, folder: str | None = None) -> None:
-    """Run one gateway: SIGTERM and SIGINT drain it, SIGHUP reloads description and customers."""
+def run_gateway(fleet: Fleet, rank: int, folder: str | None = None, take_over: bool = False) -> str:
+    """Run one gateway: SIGTERM and SIGINT drain it, SIGHUP reloads description and customers.
+
+    With ``take_over`` from the process that runs now; says why nothing became of that, empty if all went
+    well.
+    """
     if not 0 <= rank < len(fleet.gateways):
         raise ValueError(f"--rank: found {rank}, allowed: 0 to {len(fleet.gateways) - 1}")
     gc.set_threshold(20_000, 20, 50)  # most garbage goes by its count; rare runs keep pauses few
     secret = read_secret(fleet.peers.secret_file)
     world = RealWorld()
     loop = Loop(world)
-    program = Program(loop, fleet, rank, secret, record_to=folder)
+    program = Program(loop, fleet, rank, secret, record_to=folder, take_over=take_over)
     handlers = {signal.SIGTERM: program.stop, signal.SIGINT: program.stop, signal.SIGHUP: program.reload}
     loop.run(_with_signals, loop, world, handlers, program.run)
+    return program.failed
 
 
 def _with_signals(
@@ -39,7 +44,7 @@
     for number in handlers:
         signal.signal(number, lambda *_: None)
     signal.set_wakeup_fd(theirs.fileno(), warn_on_full_buffer=False)
-    stream = world.adopt(ours)
+    stream = world.adopt_stream(ours)
 
     def listen() -> None:
         while True:
--- a/orchidlane/cli/screen.py
+++ b/orchidlane/cli/screen.py
@@ -29,7 +29,7 @@
 
 
 class Screen:
-    """Reads the gateways' metrics once a second and draws them; a gateway that does not answer is shown so."""
+    """Reads the gateways' metrics once a second and draws them; one that does not answer is shown so."""
 
     def __init__(self, loop: Loop, title: str, gateways: list[tuple[str, Address]], hint: str = "") -> None:
         self.loop = loop
--- a/orchidlane/gateway/admin.py
+++ b/orchidlane/gateway/admin.py
@@ -16,8 +16,7 @@
 
 from .. import http1, record
 from ..http1 import Malformed, Request
-from ..loop import BACKGROUND, Closed, Expired, Loop, Scope, Stream
-from ..loop.world import Address
+from ..loop import BACKGROUND, Closed, Expired, Listener, Loop, Scope, Stream, Task
 from .customers import Customer
 from .door import accept_clients
 from .host import Host
@@ -96,15 +95,22 @@
         self.healthy = healthy
         self.names = names
         self.telling = False  # the whole state, to someone
+        self._accepting: Task | None = None
 
-    def listen(self, at: Address, scope: Scope) -> None:
-        """Take questions at an address, as background work."""
-        listener = self.loop.world.listen(at)
+    def listen(self, listener: Listener, scope: Scope) -> None:
+        """Take questions from a listener, as background work."""
 
         def take(stream: Stream) -> None:
             scope.spawn(self._serve, stream, kind=BACKGROUND, name="admin")
 
-        scope.spawn(accept_clients, self.loop, listener, take, kind=BACKGROUND, name="admin")
+        self._accepting = scope.spawn(
+            accept_clients, self.loop, listener, take, kind=BACKGROUND, name="admin"
+        )
+
+    def hold(self) -> None:
+        """Take no more questions, which wait at the listener."""
+        if self._accepting is not None:
+            self.loop.cancel(self._accepting)
 
     def _serve(self, stream: Stream) -> None:
         parser, by = http1.RequestParser(), self.loop.now() + PATIENCE
--- a/orchidlane/gateway/datagram.py
+++ b/orchidlane/gateway/datagram.py
@@ -108,6 +108,19 @@
             return "replay"
         return None if self._buckets[kind].has_room(now) else "intake"
 
+    def carried(self) -> list[tuple[int, int, int, bytes]]:
+        """What came of each peer, so that a successor takes no datagram twice."""
+        size = WINDOW // 8
+        return [
+            (rank, life.incarnation, life.latest, (life.seen & ((1 << WINDOW) - 1)).to_bytes(size, "little"))
+            for rank, life in self._lives.items()
+        ]
+
+    def carry_on(self, rows: list[tuple[int, int, int, bytes]]) -> None:
+        """Go on where another process of this gateway stood."""
+        for rank, incarnation, latest, seen in rows:
+            self._lives[rank] = _Life(incarnation, latest, int.from_bytes(seen, "little"))
+
     def _is_new(self, sender: int, incarnation: int, sequence: int) -> bool:
         life = self._lives.get(sender)
         if life is None or incarnation > life.incarnation:
--- a/orchidlane/gateway/exchange.py
+++ b/orchidlane/gateway/exchange.py
@@ -177,6 +177,8 @@
     answer: Answer | None = None
     gone: bool = False
     sends: int = 0
+    held_at_moment: bool = False  # nothing of it was sent when our successor took over
+    paid: bool = False  # our successor counted its units since
     first_left: int | None = None  # when the first attempt that may have run left us
     awaits_continue: bool = False  # the client holds its body back until 100 Continue
     hints: list[http1.Response] = field(default_factory=list)  # interim answers not passed on yet
--- a/orchidlane/gateway/front.py
+++ b/orchidlane/gateway/front.py
@@ -8,13 +8,13 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Protocol
 from urllib.parse import unquote_to_bytes
 
 from .. import http1
 from .. import interface as api
 from ..http1 import Data, End, Malformed, Request
-from ..loop import REQUESTS, Closed, Expired, Listener, Loop, Scope, Stream
+from ..loop import REQUESTS, Closed, Expired, Listener, Loop, Scope, Stream, Task
 from ..routes import Match, Miss
 from ..routes.generation import give_up_after
 from .answers import problem
@@ -30,15 +30,38 @@
 LINGER_MOST = 262_144  # bytes read on after an answer within a body
 
 
+class Watcher(Protocol):
+    """Is told of each connection by its number, before what could be lost with this process happens."""
+
+    def opened(self, number: int, stream: Stream) -> None:
+        """A new client."""
+
+    def began(self, number: int) -> None:
+        """A request of it is under way."""
+
+    def answering(self, number: int) -> None:
+        """Its answer is about to be written."""
+
+    def idle(self, number: int) -> None:
+        """It waits for its next request."""
+
+    def ended(self, number: int) -> None:
+        """It is over."""
+
+
 class Connection:
     """One client: its stream, its parser, and when the bytes came that are not used yet."""
 
-    __slots__ = ("last_recv", "parser", "since", "stream")
+    __slots__ = ("between", "last_recv", "number", "parser", "passed", "since", "stream", "task")
 
-    def __init__(self, stream: Stream, limits: http1.Limits, now: int) -> None:
+    def __init__(self, stream: Stream, limits: http1.Limits, now: int, number: int) -> None:
         self.stream = stream
+        self.number = number
         self.parser = http1.RequestParser(limits)
         self.since = self.last_recv = now
+        self.task: Task | None = None
+        self.between = False  # two requests: nothing of the next one is decided
+        self.passed = False  # it is another process's now
 
 
 class Front:
@@ -63,13 +86,51 @@
         self.connections: dict[Connection, None] = {}
         self.idle: dict[Connection, None] = {}  # those without a request, the longest idle first
         self.listener: Listener
+        self.pass_on: Callable[[Connection], None] | None = None  # gets each connection between two requests
+        self.watcher: Watcher | None = None  # is told of connections while another process may need them
+        self._accepting: Task
+        self._numbers = loop.now()  # a later process of this gateway numbers on from later
 
     # -- connections
 
     def listen(self, listener: Listener) -> None:
         """Take clients from a listener."""
         self.listener = listener
-        self.scope.spawn(self._accept, kind=REQUESTS, name="accept")
+        self._accepting = self.scope.spawn(self._accept, kind=REQUESTS, name="accept")
+
+    def hold(self, pass_on: Callable[[Connection], None]) -> None:
+        """Take no more clients, who wait at the listener; each that we have is passed on between requests."""
+        self.loop.cancel(self._accepting)
+        self.pass_on = pass_on
+        for connection in list(self.connections):
+            if connection.between:
+                self._pass(connection)
+
+    def resume(self) -> None:
+        """Take clients again."""
+        self.pass_on = None
+        self._accepting = self.scope.spawn(self._accept, kind=REQUESTS, name="accept")
+
+    def _pass(self, connection: Connection) -> None:
+        assert self.pass_on is not None and connection.task is not None
+        connection.passed = True
+        self.idle.pop(connection, None)
+        self.connections.pop(connection, None)
+        self.pass_on(connection)
+        self.loop.cancel(connection.task)
+
+    def adopt(self, stream: Stream, unread: bytes, since: int, last: int, number: int) -> None:
+        """Serve a client that another process passed on between two requests."""
+        connection = Connection(stream, self.limits, since, number)
+        connection.last_recv = last
+        if unread:
+            connection.parser.receive(unread)
+        self._begin(connection)
+
+    def next_number(self) -> int:
+        """A number that no other connection of this front has."""
+        self._numbers += 1
+        return self._numbers
 
     def _accept(self) -> None:
         """Out of descriptors an idle client gives its own up."""
@@ -77,9 +138,14 @@
 
     def _take(self, stream: Stream) -> None:
         self._make_room()
-        connection = Connection(stream, self.limits, self.loop.now())
+        connection = Connection(stream, self.limits, self.loop.now(), self.next_number())
+        if self.watcher is not None:
+            self.watcher.opened(connection.number, connection.stream)
+        self._begin(connection)
+
+    def _begin(self, connection: Connection) -> None:
         self.connections[connection] = None
-        self.scope.spawn(self._client, connection, kind=REQUESTS, name="client")
+        connection.task = self.scope.spawn(self._client, connection, kind=REQUESTS, name="client")
 
     def _make_room(self) -> None:
         """At the bound the client that is idle for longest goes; while all are busy, no more are taken."""
@@ -97,7 +163,10 @@
     def _forget(self, connection: Connection) -> None:
         self.idle.pop(connection, None)
         self.connections.pop(connection, None)
-        connection.stream.close()
+        if not connection.passed:
+            connection.stream.close()
+            if self.watcher is not None:
+                self.watcher.ended(connection.number)
 
     def drain(self) -> None:
         """Take no more connections or requests; what is under way goes on."""
@@ -119,13 +188,21 @@
 
     def _one(self, connection: Connection) -> bool:
         """Serve one request; whether the connection goes on."""
+        connection.between = True
+        if self.pass_on is not None:
+            self._pass(connection)
+            return False
         try:
             head = self._read_head(connection)
         except Malformed as wrong:
+            connection.between = False
             self.metrics.malformed += 1
             return self._write_last(connection, problem(wrong.status, wrong.detail))
+        connection.between = False
         if head is None:
             return False
+        if self.watcher is not None:
+            self.watcher.began(connection.number)
         found = self._understand(head)
         if isinstance(found, Answer):
             return self._finish(connection, head, found, body_read=head.length == 0)
@@ -308,11 +385,15 @@
     def _finish(self, connection: Connection, head: Request, answer: Answer, body_read: bool) -> bool:
         """Write an answer; whether the connection goes on."""
         keep = head.keep_alive and body_read and not self.draining
+        if self.watcher is not None:
+            self.watcher.answering(connection.number)
         broken = not self._write(connection, head, answer, keep)
         if not body_read:
             self._linger(connection)
         if not keep or broken:
             return False
+        if self.watcher is not None:
+            self.watcher.idle(connection.number)
         connection.parser.next_message()
         if connection.parser.pending:
             connection.since = connection.last_recv
@@ -320,11 +401,17 @@
 
     def _write_last(self, connection: Connection, answer: Answer) -> bool:
         """An answer after which nothing of the connection can be understood."""
+        if self.watcher is not None:
+            self.watcher.answering(connection.number)
         data = self._head_of(answer, keep=False, length=len(answer.body)) + answer.body
         connection.stream.send(data, self.loop.now() + self.fleet.times.write)
         self._linger(connection)
         return False
 
+    def answer_alone(self, stream: Stream, answer: Answer) -> None:
+        """Answer a client whose request another process took and can't answer any more."""
+        self._write_last(Connection(stream, self.limits, self.loop.now(), -1), answer)
+
     def _head_of(self, answer: Answer, keep: bool, length: int | None) -> bytes:
         headers = answer.headers
         if length is not None:
--- /dev/null
+++ b/orchidlane/gateway/handover.py
@@ -0,0 +1,913 @@
+"""Carries an upgrade out between two processes of one gateway; ``orchidlane.upgrade`` decides on both sides.
+
+The old process, ``GivingSide``, listens at a Unix socket. A new one, ``TakingSide``, calls there, and gets
+the listeners as descriptors and the state by rows while traffic goes on. At the moment the old one stops
+taking requests and tells what is left; from then on the new one decides. Clients are passed on between two
+requests, with what was read of the next one; a request under way is answered by the process that took it.
+
+In the trial the new one says what it is about to do before it does it, so that the old one can take
+everything back: each count before what it counts is sent on, each request before it is carried out, each
+answer before it is written. The old one keeps a hold on every client's connection meanwhile: after a crash of
+the new one, clients without a request go on, and those that are owed an answer get one that promises nothing.
+"""
+
+from __future__ import annotations
+
+import contextlib
+import os
+from collections import deque
+from collections.abc import Iterator
+from dataclasses import dataclass
+from typing import TYPE_CHECKING, Any
+
+import msgspec
+
+from .. import interface as api
+from .. import record
+from ..loop import (
+    BACKGROUND,
+    CONTROL,
+    REQUESTS,
+    Cancelled,
+    Closed,
+    Expired,
+    NotConnected,
+    Scope,
+    Stream,
+    Task,
+)
+from ..loop.world import Handle, show
+from ..rules import Gateway
+from ..upgrade import giver, messages, taker
+from ..upgrade.health import Answers
+from ..upgrade.precopy import PreCopy
+from ..upgrade.tables import AccountsTable, Carried, NamedTable, hold_back, module_at_moment, module_of
+from .answers import failed
+from .customers import Customer
+from .front import Connection
+from .respfront import Session
+from .settings import upgrade_address
+
+if TYPE_CHECKING:
+    from .program import Program
+
+HTTP, RESP = "http", "resp"
+WRITE_WITHIN = 5_000_000  # microseconds for a message to be taken
+QUEUE_MOST = 200_000  # messages that wait: beyond that the other side hangs
+TAKE_WITHIN = 1_000_000  # microseconds for an answer on units
+SAMPLE, SAMPLES = 5_000_000, 6  # microseconds between two looks at our answers, and how many are kept
+JUMP = 1 << 20  # numbers left out after another process used ours
+ROWS_BAD = (ValueError, KeyError, TypeError, IndexError, msgspec.ValidationError, record.FormatError)
+
+
+class Channel:
+    """One end of the Unix socket between the two: messages in order, handles beside them."""
+
+    def __init__(self, program: Program, stream: Stream, number: int, scope: Scope) -> None:
+        self.loop = program.loop
+        self.stream = stream
+        self.number = number
+        self.closed = False
+        self._queue: deque[tuple[bytes, Handle | None]] = deque()
+        self._parser = messages.Parser()
+        self._flushed: list[Task] = []
+        self._writer = scope.spawn(self._write, kind=CONTROL, name="upgrade writer")
+
+    def send(self, message: messages.Message, handle: Handle | None = None) -> None:
+        """Send in order, at once where it is taken at once; what is sent so is read even if we die next."""
+        data = messages.encode(message)
+        if not self.closed and not self._queue and handle is None:
+            try:
+                data = data[self.stream.try_send(data) :]
+            except Closed:
+                self.closed = True
+            if not data:
+                return
+        if self.closed or len(self._queue) >= QUEUE_MOST:
+            if handle is not None:
+                self.loop.world.drop(handle)
+            return
+        self._queue.append((data, handle))
+        self.loop.wake(self._writer)
+
+    def _write(self) -> None:
+        try:
+            while True:
+                while not self._queue:
+                    self._tell_flushed()
+                    self.loop.park()
+                data, handle = self._queue[0]
+                by = self.loop.now() + WRITE_WITHIN
+                if handle is None:
+                    self.stream.send(data, by)
+                else:
+                    self.stream.send_with(data, handle, by)
+                self._queue.popleft()
+        except (Closed, Expired):
+            self.closed = True
+        finally:
+            for _, handle in self._queue:
+                if handle is not None:
+                    self.loop.world.drop(handle)
+            self._queue.clear()
+            self._tell_flushed()
+
+    def _tell_flushed(self) -> None:
+        waiting, self._flushed = self._flushed, []
+        for task in waiting:
+            self.loop.wake(task)
+
+    def flush(self) -> None:
+        """Wait until all is handed over, or never will be."""
+        task = self.loop.current
+        assert task is not None
+        while self._queue and not self.closed:
+            self._flushed.append(task)
+            self.loop.park(self.loop.now() + WRITE_WITHIN)
+
+    def received(self) -> Iterator[Any]:
+        """What the other side says until its end closes. Raises Garbled."""
+        while True:
+            message = self._parser.next_message()
+            if message is not None:
+                yield message
+                continue
+            try:
+                data = self.stream.recv()
+            except Closed:
+                return
+            if not data:
+                return
+            self._parser.receive(data)
+
+    def await_end(self) -> None:
+        """Read on, whatever comes, until the other end closes."""
+        try:
+            while self.stream.recv():
+                pass
+        except Closed:
+            pass
+
+    def close(self) -> None:
+        """Let our end go."""
+        self.closed = True
+        self.stream.close()
+        self.loop.cancel(self._writer)
+
+
+def answers_of(program: Program) -> Answers:
+    """What was answered so far, by kind."""
+    found = dict.fromkeys(Answers._fields, 0)
+    for (kind, _), count in program.metrics.answers.items():
+        found[kind] += count
+    return Answers(**found)
+
+
+def connection_id(front: str, number: int) -> int:
+    """One number for a connection of either front."""
+    return number << 1 | (front == RESP)
+
+
+# The old side
+
+
+@dataclass
+class Kept:
+    """Our hold on a client's connection while the successor is on trial."""
+
+    handle: Handle
+    front: str
+    state: str = "idle"  # or began, answering
+    unread: bytes = b""
+    since: int = 0
+    last: int = 0
+    session: tuple[int, bytes, bool] = (2, b"", True)
+
+
+class Lent:
+    """Asks the successor for units, in the place of our own module, and passes grants on."""
+
+    def __init__(self, side: GivingSide, channel: Channel) -> None:
+        self.side = side
+        self.channel = channel
+        self.waiting: dict[int, tuple[Task, list[bool]]] = {}
+        self._numbers = 0
+
+    def take(self, customer: Customer, units: float, kind: int) -> bool:
+        """See ``host.Lent``."""
+        loop = self.channel.loop
+        task = loop.current
+        assert task is not None
+        self._numbers += 1
+        number, found = self._numbers, []  # type: ignore[var-annotated]
+        self.waiting[number] = task, found
+        self.channel.send(
+            messages.Take(
+                number,
+                customer.number,
+                customer.plan,
+                kind,
+                units,
+                customer.set_first,
+                customer.set_size,
+            )
+        )
+        by = loop.now() + TAKE_WITHIN
+        try:
+            while not found and not self.channel.closed:
+                loop.park(by)
+        except Expired:
+            pass
+        finally:
+            del self.waiting[number]
+        return bool(found) and found[0]
+
+    def answered(self, number: int, granted: bool) -> None:
+        """The successor's answer came."""
+        if number in self.waiting:
+            task, found = self.waiting[number]
+            found.append(granted)
+            self.channel.loop.wake(task)
+
+    def granted(self, name: bytes, customer: int, units: float, span: int | None) -> None:
+        """See ``limits.LentLimits``."""
+        self.channel.send(messages.Granted(name, customer, units, -1 if span is None else span))
+
+
+class GivingSide:
+    """Hands a running gateway over; decisions are ``giver.Giver``'s."""
+
+    def __init__(self, program: Program, scope: Scope) -> None:
+        self.program = program
+        self.loop = program.loop
+        self.scope = scope
+        terms = program.fleet.upgrade
+        layout = giver.Layout(
+            program.entry.name, program.rank, len(program.fleet.gateways), tuple(program.fleet.plans)
+        )
+        silence = int(terms.silence)
+        spans = giver.Terms(int(terms.warm), silence, trial=int(terms.trial), silence=silence)
+        self.machine = giver.Giver(layout, spans)
+        self.channels: dict[int, Channel] = {}
+        self.reserve: dict[int, Kept] = {}
+        self.lent: Lent | None = None
+        self.used = (0, 0)  # sequence and request numbers that the successor told last
+        self.pause = 0  # from the moment to the successor's first word, microseconds
+        self._copy: PreCopy | None = None
+        self._samples: deque[Answers] = deque(maxlen=SAMPLES)
+        self._before = Answers()
+        self._moment = 0
+        self._numbers = 0
+        self._accepting: Task | None = None
+
+    @property
+    def on_trial(self) -> bool:
+        """Whether another process serves in our place, and all could come back."""
+        return self.machine.phase in (giver.Phase.COMMITTED, giver.Phase.RECALLING, giver.Phase.FENCING)
+
+    def listen(self) -> None:
+        """Take calls, if the settings have a folder for the Unix socket."""
+        self.program.open("upgrade")
+        if "upgrade" in self.program.places:
+            self._accepting = self.scope.spawn(self._accept, kind=CONTROL, name="upgrade")
+            self.scope.spawn(self._sample, kind=BACKGROUND, name="upgrade samples")
+
+    def _accept(self) -> None:
+        listener = self.program.places["upgrade"]
+        while True:
+            try:
+                stream = listener.accept()
+            except Closed:
+                return
+            self._numbers += 1
+            channel = Channel(self.program, stream, self._numbers, self.scope)
+            self.channels[channel.number] = channel
+            self.scope.spawn(self._serve, channel, kind=CONTROL, name="upgrade channel")
+
+    def _sample(self) -> None:
+        while True:
+            if self.machine.phase is giver.Phase.SERVING:
+                self._samples.append(answers_of(self.program))
+            self.loop.sleep(SAMPLE)
+
+    def _serve(self, channel: Channel) -> None:
+        try:
+            try:
+                for message in channel.received():
+                    self._hear(channel, message)
+            except (messages.Garbled, *ROWS_BAD) as wrong:
+                self.feed(giver.WasUnfit(channel.number, f"garbage: {wrong}"))
+                channel.await_end()
+            self.feed(giver.Lost(channel.number))
+        finally:
+            self.channels.pop(channel.number, None)
+            channel.close()
+
+    def feed(self, event: giver.Event) -> None:
+        """Tell the machine one event and carry out what it decides."""
+        before = self.machine.phase
+        actions = self.machine.handle(self.loop.now(), event)
+        if self.machine.phase is not before:
+            self.program.log.info(
+                "upgrade", phase=self.machine.phase.value, was=before.value, latest=self.machine.latest
+            )
+        for action in actions:
+            self._carry_out(action)
+
+    def _carry_out(self, action: giver.Action) -> None:
+        match action:
+            case giver.MakeOffer():
+                self.scope.spawn(self._offer, self.channels[action.channel], kind=CONTROL, name="offer")
+            case giver.TurnAway():
+                self._turn_away(action)
+            case giver.Commit():
+                self.scope.spawn(self._commit, self.channels[action.channel], kind=CONTROL, name="commit")
+            case giver.AskBack():
+                self.channels[action.channel].send(messages.Recall(action.why))
+            case giver.Kill():
+                self.channels[action.channel].stream.kill_peer()
+            case giver.TakeBack():
+                self._take_back()
+            case giver.Settle():
+                self._settle()
+            case giver.LetGo():
+                self._let_go(self.channels[action.channel])
+            case giver.Wake():
+                self.loop.call_at(self.loop.now() + action.span, lambda _: self.feed(giver.Ticked()))
+            case giver.End():
+                pass  # the program ends by itself
+
+    def _turn_away(self, action: giver.TurnAway) -> None:
+        channel = self.channels.get(action.channel)
+        if self._copy is not None and action.channel == getattr(self, "_copying", None):
+            self._copy.close()
+            self._copy = None
+        if channel is not None:
+            channel.send(messages.Abort(action.why))
+            self.scope.spawn(self._close_flushed, channel, kind=CONTROL, name="turned away")
+
+    def _close_flushed(self, channel: Channel) -> None:
+        with contextlib.suppress(Expired):
+            channel.flush()
+        channel.close()
+
+    # -- what the successor says
+
+    def _hear(self, channel: Channel, message: Any) -> None:
+        number = channel.number
+        match message:
+            case messages.Ask():
+                channel.send(self.status())
+            case messages.Hello():
+                self.feed(giver.Called(number, message))
+            case _ if number != self.machine.channel:
+                self.feed(giver.WasUnfit(number, f"{type(message).__name__} without a call"))
+            case messages.Warm():
+                self.feed(giver.WasWarm(number))
+            case messages.Started():
+                self.pause = self.loop.now() - self._moment
+                self.program.log.info("successor serves", pause_ms=self.pause / 1_000)
+                self.feed(giver.HasStarted(number))
+            case messages.Pulse():
+                self.used = message.sequence, message.number
+                answers = Answers(message.served, message.refused, message.failed)
+                self.feed(giver.Pulsed(number, answers, self._before))
+            case messages.Unfit():
+                self.feed(giver.WasUnfit(number, message.why))
+            case messages.Returned():
+                self.feed(giver.WasReturned(number))
+            case messages.Taken():
+                if self.lent is not None:
+                    self.lent.answered(message.id, message.granted)
+            case messages.Heard():
+                self.program.limits.hear(message.sender, message.body)
+            case messages.Count():
+                counted = (message.customer, message.plan, message.first, message.size)
+                self.program.host.feed(api.Counted(*counted, message.start, message.value))
+            case messages.Opened():
+                handle = channel.stream.take_handle()
+                if handle is not None:
+                    now = self.loop.now()
+                    self.reserve[message.connection] = Kept(handle, message.front, since=now, last=now)
+            case messages.Began() | messages.Answering() | messages.Idle():
+                self._follow(message)
+            case messages.Ended():
+                self._drop(message.connection)
+            case messages.Took():
+                if not message.taken:
+                    self._close_kept(message.connection)
+
+    def status(self) -> messages.Status:
+        """How things stand, for tools."""
+        machine = self.machine
+        return messages.Status(machine.phase.value, record.build_name(), os.getpid(), machine.latest)
+
+    def _follow(self, message: Any) -> None:
+        """What becomes of a connection in the successor."""
+        kept = self.reserve.get(message.connection)
+        if kept is None:
+            return
+        kept.state = {messages.Began: "began", messages.Answering: "answering"}.get(type(message), "idle")
+        if kept.state == "idle":
+            kept.unread, kept.since = message.unread, self.loop.now()
+            if message.back and not self.on_trial:
+                self._adopt(message.connection)
+
+    def _drop(self, connection: int) -> None:
+        kept = self.reserve.pop(connection, None)
+        if kept is not None:
+            self.loop.world.drop(kept.handle)
+
+    def _close_kept(self, connection: int) -> None:
+        kept = self.reserve.pop(connection, None)
+        if kept is not None:
+            self.loop.world.adopt_stream(kept.handle).close()
+
+    # -- the copy, the moment
+
+    def _offer(self, channel: Channel) -> None:
+        program = self.program
+        places = program.places
+        channel.send(
+            messages.Offer(
+                record.build_name(),
+                self.loop.world.clock_base(),
+                program.incarnation,
+                program.knowledge.generation.number,
+                tuple(places),
+            )
+        )
+        for name, place in places.items():
+            channel.send(messages.Place(name), place.share())
+        limits = program.limits
+        self._copying = channel.number
+        self._copy = copy = PreCopy(
+            [
+                AccountsTable(program.host.rules),
+                NamedTable("tokens", limits.holder),
+                NamedTable("grants", limits.ledger),
+            ]
+        )
+        try:
+            while self._copy is copy and (page := copy.page()) is not None:
+                channel.send(messages.Rows(*page))
+                channel.flush()
+                self.loop.give_way()
+        except Expired:
+            return self.feed(giver.WasUnfit(channel.number, "it does not read"))
+        if self._copy is copy:
+            channel.send(messages.Whole())
+
+    def _commit(self, channel: Channel) -> None:
+        """Bring over what changed since, then all that is left in one go, with nothing decided between."""
+        copy = self._copy
+        assert copy is not None
+        copy.again()
+        try:
+            while (page := copy.page()) is not None:
+                channel.send(messages.Rows(*page))
+                channel.flush()
+        except Expired:
+            return self.feed(giver.WasUnfit(channel.number, "it does not read"))
+        if self.machine.phase is giver.Phase.COMMITTED:
+            self._make_moment(channel, copy)
+
+    def _make_moment(self, channel: Channel, copy: PreCopy) -> None:
+        program = self.program
+        self._moment = self.loop.now()
+        now = answers_of(program)
+        self._before = now.since(self._samples[0]) if self._samples else now
+        if not self._before.all:
+            self._before = now
+        self.used = program.sequence, program.host.numbers
+        for page in copy.rest():
+            channel.send(messages.Rows(*page))
+        self._copy = None
+        channel.send(
+            messages.Final(
+                module=module_at_moment(program.host.rules),
+                limits=program.limits.carried(),
+                nodes=msgspec.to_builtins(program.tracker.carried()),
+                peers=[list(row) for row in program.inbox.carried()],
+                sequence=program.sequence,
+                number=program.host.numbers,
+                class_names=program.knowledge.generation.class_names,
+            )
+        )
+        self.lent = Lent(self, channel)
+        program.lend(self.lent)
+        program.hold(
+            lambda connection: self._pass_http(channel, connection),
+            lambda session: self._pass_resp(channel, session),
+        )
+
+    def _pass_http(self, channel: Channel, connection: Connection) -> None:
+        kept = Kept(
+            connection.stream.share(),
+            HTTP,
+            unread=connection.parser.unread,
+            since=connection.since,
+            last=connection.last_recv,
+        )
+        self._pass(channel, connection.stream, connection_id(HTTP, connection.number), kept)
+
+    def _pass_resp(self, channel: Channel, session: Session) -> None:
+        unread = session.decoder.unread()
+        if unread is None:  # it is out of step: the next command ends it anyhow
+            session.stream.close()
+            return
+        facts = session.version, session.name, session.authorized
+        kept = Kept(session.stream.share(), RESP, unread=unread, session=facts)
+        self._pass(channel, session.stream, connection_id(RESP, session.number), kept)
+
+    def _pass(self, channel: Channel, stream: Stream, number: int, kept: Kept) -> None:
+        facts = kept.since, kept.last, kept.session
+        passed = messages.Connection(number, kept.front, kept.unread, *facts)
+        channel.send(passed, stream.share())
+        stream.release()
+        if self.on_trial:
+            self.reserve[number] = kept
+        else:
+            self.loop.world.drop(kept.handle)
+
+    # -- back
+
+    def _take_back(self) -> None:
+        program = self.program
+        hold_back(program.host.rules)
+        program.sequence = self.used[0] + JUMP
+        program.host.numbers = max(program.host.numbers, self.used[1]) + JUMP
+        program.take_back()
+        self.lent = None
+        for number, kept in list(self.reserve.items()):
+            if kept.state == "idle":
+                self._adopt(number)
+
+    def _adopt(self, number: int) -> None:
+        kept = self.reserve.pop(number)
+        stream = self.loop.world.adopt_stream(kept.handle)
+        if kept.front == HTTP:
+            front = self.program.front
+            front.adopt(stream, kept.unread, kept.since, kept.last, front.next_number())
+        else:
+            resp = self.program.resp
+            resp.adopt(stream, kept.unread, kept.session, resp.next_number())
+
+    def _settle(self) -> None:
+        """The other process is gone: clients that it owed an answer get one that promises nothing.
+
+        Where the answer had begun nobody knows how much of it left, so that connection ends.
+        """
+        for kept in self.reserve.values():
+            stream = self.loop.world.adopt_stream(kept.handle)
+            if kept.front == HTTP and kept.state == "began":
+                self.scope.spawn(self._fail, stream, kind=REQUESTS, name="settle")
+            else:
+                stream.close()
+        self.reserve.clear()
+
+    def _fail(self, stream: Stream) -> None:
+        try:
+            self.program.front.answer_alone(stream, failed())
+        except (Closed, Expired):
+            pass
+        finally:
+            stream.close()
+
+    # -- on
+
+    def _let_go(self, channel: Channel) -> None:
+        if self._accepting is not None:
+            self.loop.cancel(self._accepting)
+        channel.send(messages.Release())
+        for number in list(self.reserve):
+            self._drop(number)
+        self.program.stopping = True
+
+    def part(self) -> None:
+        """Our last request is answered: wait until what we pass on is handed over."""
+        self.feed(giver.Drained())
+        for channel in list(self.channels.values()):
+            with contextlib.suppress(Expired):
+                channel.flush()
+
+
+# The new side
+
+
+class Mirror:
+    """Tells the old process of our clients before what could be lost with us happens."""
+
+    def __init__(self, channel: Channel, front: str) -> None:
+        self.channel = channel
+        self.front = front
+
+    def opened(self, number: int, stream: Stream) -> None:
+        """See ``front.Watcher``; so are the others."""
+        self.channel.send(messages.Opened(connection_id(self.front, number), self.front), stream.share())
+
+    def began(self, number: int) -> None:
+        self.channel.send(messages.Began(connection_id(self.front, number)))
+
+    def answering(self, number: int) -> None:
+        self.channel.send(messages.Answering(connection_id(self.front, number)))
+
+    def idle(self, number: int) -> None:
+        self.channel.send(messages.Idle(connection_id(self.front, number)))
+
+    def ended(self, number: int) -> None:
+        self.channel.send(messages.Ended(connection_id(self.front, number)))
+
+
+class TakingSide:
+    """Takes a running gateway over; decisions are ``taker.Taker``'s."""
+
+    def __init__(self, program: Program, scope: Scope) -> None:
+        self.program = program
+        self.loop = program.loop
+        self.scope = scope
+        self.machine = taker.Taker(taker.Terms(warm=int(program.fleet.upgrade.warm)))
+        self.channel: Channel
+        self.places: dict[str, Handle] = {}
+        self.wanted: tuple[str, ...] = ()
+        self.carried: Carried
+        self.kinds: dict[int, int] = {}  # the old side's numbers of classes -> ours
+        self.ended_because = ""
+        self._waiting: Task | None = None
+        self._built = False
+        self._quiet = False
+
+    def take_over(self) -> bool:
+        """Call, and wait until we serve; False where nothing becomes of it (``ended_because`` says why)."""
+        at = upgrade_address(self.program.fleet, self.program.entry)
+        if at is None:
+            self.ended_because = "the settings have no folder for the state, where the old process listens"
+            return False
+        try:
+            stream = self.loop.world.connect(at, self.loop.now() + WRITE_WITHIN)
+        except (NotConnected, Expired) as wrong:
+            self.ended_because = f"nobody answers at {show(at)}: {wrong}"
+            return False
+        self.channel = Channel(self.program, stream, 0, self.scope)
+        self.scope.spawn(self._serve, kind=CONTROL, name="upgrade channel")
+        self._carry_out_all(self.machine.start(self.loop.now()))
+        self._waiting = self.loop.current
+        while self.machine.phase not in (taker.Phase.TRIAL, taker.Phase.FREE, taker.Phase.ENDED):
+            self.loop.park()
+        self._waiting = None
+        return self.machine.phase is not taker.Phase.ENDED
+
+    def _serve(self) -> None:
+        try:
+            try:
+                for message in self.channel.received():
+                    self._hear(message)
+            except (messages.Garbled, *ROWS_BAD) as wrong:
+                self.feed(taker.WasUnfit(f"garbage: {type(wrong).__name__} {wrong}"))
+                self.channel.await_end()
+            self.feed(taker.Lost())
+        except Cancelled:
+            raise
+        except Exception as wrong:  # what a build can't do it finds out here: it is unfit, not hung
+            self.feed(taker.WasUnfit(f"{type(wrong).__name__}: {wrong}"))
+            raise
+
+    def feed(self, event: taker.Event) -> None:
+        """Tell the machine one event and carry out what it decides."""
+        before = self.machine.phase
+        actions = self.machine.handle(self.loop.now(), event)
+        if self.machine.phase is not before:
+            self.program.log.info("take-over", phase=self.machine.phase.value, was=before.value)
+        self._carry_out_all(actions)
+        if self._waiting is not None:
+            self.loop.wake(self._waiting)
+
+    def _carry_out_all(self, actions: list[taker.Action]) -> None:
+        for action in actions:
+            self._carry_out(action)
+
+    def _carry_out(self, action: taker.Action) -> None:
+        match action:
+            case taker.SayHello():
+                self._say_hello()
+            case taker.Check():
+                self._check()
+            case taker.SayWarm():
+                self.channel.send(messages.Warm())
+            case taker.Serve():
+                self._begin_trial()
+            case taker.SayPulse():
+                program = self.program
+                answers = answers_of(program)
+                self.channel.send(messages.Pulse(*answers, program.sequence, program.host.numbers))
+            case taker.StandAlone():
+                self._stand_alone(action.cold)
+            case taker.StopServing():
+                self._stop_serving()
+            case taker.BeFree():
+                self._be_free()
+            case taker.Exit():
+                self.ended_because = action.why
+                self.program.log.error("take-over ended", why=action.why)
+                self.channel.send(messages.Unfit(action.why))
+                self.program.stopping = True
+                self.scope.spawn(self._close, kind=CONTROL, name="take-over ends")
+            case taker.Wake():
+                self.loop.call_at(self.loop.now() + action.span, lambda _: self.feed(taker.Ticked()))
+
+    def _close(self) -> None:
+        with contextlib.suppress(Expired):
+            self.channel.flush()
+        self.channel.close()
+
+    def _say_hello(self) -> None:
+        program = self.program
+        self.channel.send(
+            messages.Hello(
+                messages.FORMAT,
+                record.build_name(),
+                program.entry.name,
+                program.rank,
+                len(program.fleet.gateways),
+                tuple(program.fleet.plans),
+            )
+        )
+
+    # -- what the old side says
+
+    def _hear(self, message: Any) -> None:
+        match message:
+            case messages.Offer():
+                self._offered(message)
+            case messages.Place():
+                handle = self.channel.stream.take_handle()
+                if handle is None:
+                    self.feed(taker.WasUnfit(f"the listener {message.name} got lost: no descriptor left?"))
+                else:
+                    self.places[message.name] = handle
+            case messages.Rows():
+                self.carried.take(message.table, message.rows, message.gone, self.loop.now())
+            case messages.Whole():
+                self.feed(taker.CameWhole())
+            case messages.Final():
+                self._final(message)
+            case messages.Connection():
+                self._adopt(message)
+            case messages.Take():
+                self._take(message)
+            case messages.Tell():
+                self._tell(message)
+            case messages.Granted():
+                span = None if message.span < 0 else message.span
+                ledger = self.program.limits.ledger
+                ledger.grant(self.loop.now(), message.name, message.customer, message.units, span)
+            case messages.Recall():
+                self.feed(taker.Recalled(message.why))
+            case messages.Release():
+                self.feed(taker.Released())
+            case messages.Abort():
+                self.feed(taker.Aborted(message.why))
+            case _:
+                self.feed(taker.WasUnfit(f"{type(message).__name__} is not the old side's to say"))
+
+    def _offered(self, offer: messages.Offer) -> None:
+        """Go on with its clock and life; our own description and customers are read and checked anew."""
+        program = self.program
+        self.loop.world.follow_clock(offer.clock)
+        program.incarnation = offer.incarnation
+        self.wanted = offer.places
+        program.read(offer.generation + 1)
+        program.build(self.scope)
+        self._built = True
+        self.carried = Carried(program.limits.holder, program.limits.ledger)
+        self.feed(taker.Offered())
+
+    def _check(self) -> None:
+        """Everything came, and a module of this build makes something of a request."""
+        missing = [name for name in self.wanted if name not in self.places]
+        if missing:
+            return self.feed(taker.WasUnfit(f"these listeners did not come: {', '.join(missing)}"))
+        settings = self.program.host.settings
+        gateway = Gateway(settings, 0, self.loop.now())
+        deadline = settings.classes[0].deadline
+        asked = api.RequestArrived(1, 1, 0, 0, 1.0, deadline, 0, 1, False)
+        if not gateway.handle(self.loop.now(), asked):
+            return self.feed(taker.WasUnfit("its module makes nothing of a request"))
+        self.feed(taker.WasFit())
+
+    def _final(self, final: messages.Final) -> None:
+        """The moment: all that the old side had is ours."""
+        program = self.program
+        old = {name: number for number, name in enumerate(final.class_names)}
+        names = program.knowledge.generation.class_names
+        self.kinds = {old[name]: number for number, name in enumerate(names) if name in old}
+        kinds = [old.get(name) for name in names]
+        rules = module_of(program.host.settings, final.module, self.carried.accounts, kinds)
+        program.host.go_on_with(rules, final.number)
+        program.limits.carry_on(final.limits)
+        program.tracker.carry_on(final.nodes)
+        program.inbox.carry_on([tuple(row) for row in final.peers])
+        program.sequence = final.sequence
+        self.feed(taker.CameFinal())
+
+    def _begin_trial(self) -> None:
+        program = self.program
+        program.front.watcher = Mirror(self.channel, HTTP)
+        program.resp.watcher = Mirror(self.channel, RESP)
+        program.host.spent = self._spent
+        program.limits.others = self._pass_reply
+        program.adopt_places(self.places)
+        program.start_serving(self.scope)
+        self.channel.send(messages.Started())
+
+    def _spent(self, customer: int) -> None:
+        """Said before what it counts is sent on: the old one would know of it after our death."""
+        rules = self.program.host.rules
+        account = rules.accounts[customer]
+        start, value = account.counts[rules.rank]
+        self.channel.send(messages.Count(customer, *account.key, start, value))
+
+    def _pass_reply(self, sender: int, body: bytes) -> None:
+        self.channel.send(messages.Heard(sender, body))
+
+    def _adopt(self, message: messages.Connection) -> None:
+        handle = self.channel.stream.take_handle()
+        self.channel.send(messages.Took(message.id, handle is not None))
+        if handle is None:
+            return
+        stream = self.loop.world.adopt_stream(handle)
+        number = message.id >> 1
+        if message.front == HTTP:
+            self.program.front.adopt(stream, message.unread, message.since, message.last, number)
+        else:
+            self.program.resp.adopt(stream, message.unread, message.session, number)
+
+    def _take(self, take: messages.Take) -> None:
+        names = tuple(self.program.fleet.plans)
+        customer = Customer(take.customer, take.plan, names[take.plan], take.first, take.size)
+        kind = self.kinds.get(take.kind)
+        granted = kind is not None and not self._quiet and self.program.host.take(customer, take.units, kind)
+        self.channel.send(messages.Taken(take.id, granted))
+
+    def _tell(self, tell: messages.Tell) -> None:
+        if tell.rank == self.program.rank:
+            self.program.limits.hear(tell.rank, tell.body)
+        else:
+            self.program.tell_limits(tell.rank, tell.body)
+
+    def own_reply(self, body: bytes) -> None:
+        """What our own limits answer a question that the old side asked us."""
+        self.channel.send(messages.Heard(self.program.rank, body))
+
+    # -- the end of it
+
+    def _be_free(self) -> None:
+        self._stop_mirroring()
+        self.channel.stream.kill_peer() if self.channel.closed else None
+        self.program.giving.listen()
+
+    def _stop_mirroring(self) -> None:
+        program = self.program
+        program.front.watcher = program.resp.watcher = None
+        program.host.spent = None
+
+    def _stand_alone(self, cold: bool) -> None:
+        """The old one is dead, or is made so; we take requests."""
+        program = self.program
+        self.channel.stream.kill_peer()
+        self._stop_mirroring()
+        self._quiet = False
+        if cold:
+            if not self._built or "http" not in self.places:
+                self.program.stopping = True
+                return
+            program.incarnation = self.loop.now()  # a new life: what was said in the old one is not known
+            program.adopt_places(self.places)
+            program.start_serving(self.scope)
+        else:
+            program.take_back()
+        program.giving.listen()
+
+    def _stop_serving(self) -> None:
+        program = self.program
+        self._quiet = True
+        program.hold(self._give_back_http, self._give_back_resp)
+        program.quiet = True
+        self.channel.send(messages.Returned())
+        self.scope.spawn(self._until_drained, kind=CONTROL, name="returning")
+
+    def _give_back_http(self, connection: Connection) -> None:
+        self._give_back(connection_id(HTTP, connection.number), connection.parser.unread, connection.stream)
+
+    def _give_back_resp(self, session: Session) -> None:
+        unread = session.decoder.unread()
+        self._give_back(connection_id(RESP, session.number), unread or b"", session.stream)
+
+    def _give_back(self, number: int, unread: bytes, stream: Stream) -> None:
+        self.channel.send(messages.Idle(number, True, unread))
+        stream.release()
+
+    def _until_drained(self) -> None:
+        while self.program.front.connections or self.program.resp.sessions:
+            self.loop.sleep(10_000)
+        self.feed(taker.Drained())
--- a/orchidlane/gateway/host.py
+++ b/orchidlane/gateway/host.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Protocol
 
 from .. import interface as api
 from ..loop import Loop
@@ -19,6 +19,13 @@
     from .upstream import AttemptRun
 
 
+class Lent(Protocol):
+    """Asks the process that decides on units in our place."""
+
+    def take(self, customer: Customer, units: float, kind: int) -> bool:
+        """Ask for units; waits for the answer. No answer is a no."""
+
+
 class Host:
     """One decision module and the exchanges that it knows.
 
@@ -44,14 +51,22 @@
         self.rules = Gateway(settings, loop.world.random.getrandbits(64), loop.now())
         track(self.rules)
         self.recorder: Recorder | None = None
-        self._numbers = 0
+        self.numbers = 0  # of the latest request
+        self.lent: Lent | None = None  # our successor decides on units from the moment that it serves
+        self.spent: Callable[[int], None] | None = None  # told of each customer whose count has just grown
         self._feeding = False
         self._granted: bool | None = None  # the answer to the take that is being fed
+        self._taking = -1  # its customer
 
     def start(self) -> None:
         """The module's first actions."""
         self._carry_out(self.rules.start())
 
+    def go_on_with(self, rules: Gateway, number: int) -> None:
+        """Host a module that another process of this gateway hosted, and number requests on from there."""
+        self.rules, self.numbers = rules, number
+        track(rules)
+
     def feed(self, event: api.Event) -> None:
         """Tell the module one event and carry out its answer."""
         assert not self._feeding, "an action fed an event"
@@ -67,16 +82,18 @@
 
     def next_number(self) -> int:
         """A request id that was not used in this life."""
-        self._numbers += 1
-        return self._numbers
+        self.numbers += 1
+        return self.numbers
 
     def take(self, customer: Customer, units: float, kind: int) -> bool:
-        """Ask for units without a node; the module answers at once."""
+        """Ask for units without a node; the module answers at once, our successor's after a while."""
+        if self.lent is not None:
+            return self.lent.take(customer, units, kind)
         number = self.next_number()
         taken = api.TakeArrived(
             number, customer.number, customer.plan, kind, units, customer.set_first, customer.set_size
         )
-        self._granted = None
+        self._granted, self._taking = None, customer.number
         self.feed(taken)
         assert self._granted is not None, "a take without an answer"
         return self._granted
@@ -143,9 +160,12 @@
                 case api.SetTimer():
                     self.loop.call_at(self.loop.now() + action.span, self._fired, action.token)
                 case api.TellPeer():
-                    self.tell(action.peer, action.body)
+                    if self.lent is None:  # peers see one gateway
+                        self.tell(action.peer, action.body)
                 case api.Grant():
                     self._granted = True
+                    if self.spent is not None:
+                        self.spent(self._taking)
                 case api.Refuse():
                     self._granted = False
                     self._answer(action.request, refused(action))
@@ -160,6 +180,8 @@
 
     def _send(self, action: api.Send) -> None:
         exchange = self.exchanges[action.request]
+        if self.spent is not None and not exchange.sends:
+            self.spent(exchange.customer.number)
         number = exchange.sends
         exchange.sends += 1
         self.begin(exchange, number, action)
--- a/orchidlane/gateway/limits.py
+++ b/orchidlane/gateway/limits.py
@@ -9,6 +9,7 @@
 from collections import OrderedDict
 from collections.abc import Callable
 from enum import IntEnum
+from typing import Any, Protocol
 
 import msgspec
 
@@ -18,6 +19,7 @@
 from .host import Host
 from .settings import Fleet
 
+NUMBERS_APART = 1 << 32  # between the questions of a process and those of its successor
 ANSWERED_MOST = 4_096  # answers kept, so that a question that comes again is told the same
 
 
@@ -58,6 +60,13 @@
     """The gateways that would have to know do not answer; nothing was counted by this command."""
 
 
+class LentLimits(Protocol):
+    """Passes grants on to the process that holds them in our place."""
+
+    def granted(self, name: bytes, customer: int, units: float, span: int | None) -> None:
+        """Units that were taken, under a name."""
+
+
 class LimitService:
     """One gateway's part in takes, tokens and reservations."""
 
@@ -84,8 +93,38 @@
         self.granted = self.refused = 0
         self._asked: dict[int, tuple[Task, list[Reply]]] = {}
         self._answered: OrderedDict[tuple[int, int], bytes] = OrderedDict()
+        self.lent: LentLimits | None = None  # our successor holds tokens and grants from its moment on
+        self.others: Callable[[int, bytes], None] | None = None  # gets answers to questions that are not ours
         self._numbers = now  # a later life asks under other numbers, and is not told old answers
 
+    # -- to another process of this gateway
+
+    def carried(self) -> dict[str, Any]:
+        """All but tokens and grants that a successor needs."""
+        return {
+            "life": self.life,
+            "numbers": self._numbers,
+            "sure_from": self.holder.sure_from,
+            "credits": self.ledger.credits(),
+            "answered": [(*key, answer) for key, answer in self._answered.items()],
+        }
+
+    def carry_on(self, carried: dict[str, Any]) -> None:
+        """Go on where another process of this gateway stood; it still waits for answers to lower numbers."""
+        self.life = int(carried["life"])
+        self._numbers = int(carried["numbers"]) + NUMBERS_APART
+        self.holder.sure_from = int(carried["sure_from"])
+        self.ledger.load_credits(carried["credits"])
+        self._answered = OrderedDict(((row[0], row[1]), row[2]) for row in carried["answered"])
+
+    def hold_back(self) -> None:
+        """Decide again after another process did: what it granted meanwhile is not known here."""
+        now = self.loop.now()
+        self.lent = None
+        self._numbers += 2 * NUMBERS_APART
+        self.holder.sure_from = now + self.terms.token_life
+        self.ledger.drop_credits()
+
     # -- the store of a customer, as it is known here
 
     def room(self, customer: Customer) -> float:
@@ -109,7 +148,9 @@
         """Paid from what came back, or asked of the module."""
         plan = self.host.settings.plans[customer.plan]
         now = self.loop.now()
-        if self.ledger.pay(now, customer.number, units, self.room(customer), plan.burst):
+        if self.lent is None and self.ledger.pay(
+            now, customer.number, units, self.room(customer), plan.burst
+        ):
             self.granted += 1
             return True
         admitted = self.host.take(customer, units, kind)
@@ -152,11 +193,17 @@
             if self.ledger.full(self.loop.now()):
                 raise LedgerError("too many grants are remembered")
             return False
-        self.ledger.grant(self.loop.now(), name, customer.number, units)
+        self._grant(name, customer, units)
         settle = Question(0, Op.SETTLE, name, customer.number, number, units)
         self._ask_all(claim.holders, settle, enough=claim.majority)
         return True
 
+    def _grant(self, name: bytes, customer: Customer, units: float, span: int | None = None) -> None:
+        if self.lent is not None:
+            self.lent.granted(name, customer.number, units, span)
+        else:
+            self.ledger.grant(self.loop.now(), name, customer.number, units, span)
+
     def _claim(self, name: bytes, customer: Customer, number: int) -> Claim:
         claim = Claim(holders_of(name, self._set(customer)))
         question = Question(0, Op.CLAIM, name, customer.number, number)
@@ -200,7 +247,7 @@
         if not self.take(customer, units, kind):
             return None
         name = b"%d-%x-%d" % (self.rank, self.life, self._next())
-        self.ledger.grant(self.loop.now(), name, customer.number, units, span)
+        self._grant(name, customer, units, span)
         return name
 
     def end_reservation(self, customer: Customer, name: bytes, commit: bool) -> Outcome:
@@ -228,7 +275,7 @@
         found: dict[int, Reply | None] = {}
         for rank in ranks:
             asked = msgspec.structs.replace(question, id=self._next())
-            if rank == self.rank:
+            if rank == self.rank and self.lent is None:
                 found[rank] = self._reply(self.rank, asked)
             else:
                 waiting[rank] = asked.id
@@ -273,6 +320,8 @@
             if asked is not None:
                 asked[1].append(message)
                 self.loop.wake(asked[0])
+            elif self.others is not None:
+                self.others(sender, body)
             return
         known = self._answered.get((sender, message.id))
         if known is None:
--- a/orchidlane/gateway/nodelist.py
+++ b/orchidlane/gateway/nodelist.py
@@ -50,6 +50,15 @@
     nodes: tuple[NodeLine, ...]
 
 
+class Carried(msgspec.Struct, frozen=True):
+    """What passes from one process to its successor."""
+
+    epoch: str
+    version: int
+    nodes: tuple[NodeLine, ...]
+    numbers: dict[str, int]
+
+
 CACHE_FORMAT = 1
 
 
@@ -119,6 +128,21 @@
         kept = Cached(CACHE_FORMAT, self.epoch, self.version, tuple(self.nodes.values()))
         return msgspec.json.encode(kept)
 
+    def carried(self) -> dict[str, object]:
+        """All that a successor needs to go on with the list as we know it."""
+        return {
+            "epoch": self.epoch,
+            "version": self.version,
+            "nodes": list(self.nodes.values()),
+            "numbers": self._numbers,
+        }
+
+    def carry_on(self, carried: dict[str, object]) -> None:
+        """Go on where another process of this gateway stood. Raises msgspec.ValidationError."""
+        found = msgspec.convert(carried, Carried)
+        self.epoch, self.version, self._numbers = found.epoch, found.version, found.numbers
+        self.nodes = {node.address: node for node in found.nodes}
+
     def restore(self, text: bytes) -> api.ServerListed | None:
         """What a kept list tells the module; None where it can't be read, which costs no more than a wait.
 
--- a/orchidlane/gateway/program.py
+++ b/orchidlane/gateway/program.py
@@ -2,25 +2,30 @@
 
 from __future__ import annotations
 
+import os
+from collections.abc import Callable
 from typing import Any
 
 import structlog
 
 from .. import interface as api
-from ..loop import BACKGROUND, CONTROL, PEERS, Loop, Scope
-from ..loop.world import Datagrams
+from ..loop import BACKGROUND, CONTROL, PEERS, Loop, Scope, Task
+from ..loop.world import Handle
 from ..routes import DescriptionError
+from ..upgrade import giver, messages, taker
+from . import front as http_front
 from .admin import Admin, Names
 from .datagram import LIMITS, MODULE, SIZE_MOST, Inbox, seal
 from .front import Front
+from .handover import GivingSide, Lent, TakingSide
 from .host import Host
 from .knowledge import Knowledge, read_knowledge
 from .limits import LimitService
 from .metrics import Metrics
 from .nodelist import ListTracker
 from .recorder import Recorder
-from .respfront import RespFront
-from .settings import Fleet, address, module_settings
+from .respfront import RespFront, Session
+from .settings import Fleet, address, module_settings, upgrade_address
 from .upstream import Upstream
 from .watch import Watch
 
@@ -28,7 +33,12 @@
 
 
 class Program:
-    """One gateway. ``run`` is its main task; ``stop`` and ``reload`` may be called from signals' tasks."""
+    """One gateway. ``run`` is its main task; ``stop`` and ``reload`` may be called from signals' tasks.
+
+    ``places`` are its listeners and the peers' datagrams by name: what a successor takes over. With
+    ``take_over`` they come from the process that runs now; ``failed`` says afterwards why nothing became of
+    it.
+    """
 
     def __init__(
         self,
@@ -38,6 +48,7 @@
         secret: bytes,
         knowledge: Knowledge | None = None,
         record_to: str | None = None,
+        take_over: bool = False,
     ) -> None:
         self.loop = loop
         self.fleet = fleet
@@ -45,49 +56,87 @@
         self.entry = fleet.gateways[rank]
         self.secret = secret
         self.record_to = record_to
+        self.take_over = take_over
         self.log = structlog.get_logger().bind(gateway=self.entry.name)
+        self.given = knowledge is not None
         self.knowledge = knowledge or read_knowledge(loop.world, fleet, 1, self.log)
         self.metrics = Metrics()
         self.stopping = False
         self.ready = False
+        self.quiet = False  # peers hear of another process in our place
+        self.failed = ""
         self.incarnation = loop.now()
         self.sequence = 0
         self.peers = [address(entry.peer) for entry in fleet.gateways]
-        self.datagrams: Datagrams
+        self.places: dict[str, Any] = {}
         self.front: Front
         self.host: Host
         self.inbox: Inbox
         self.tracker = ListTracker(self.entry.zone, fleet.bounds.nodes)
+        self._hearing: Task
 
     def run(self) -> None:
         """From start to the end of a drain."""
-        world = self.loop.world
-        listener = world.listen(address(self.entry.listen))
-        self.datagrams = world.datagrams(address(self.entry.peer))
         with Scope(self.loop) as scope:
-            self._build(scope)
-            self.host.start()
-            if self.record_to:
-                self._record(scope, self.record_to)
-            self.watch.restore()
-            scope.spawn(self.watch.work, kind=CONTROL, name="node list")
-            scope.spawn(self.watch.keep, kind=BACKGROUND, name="node list's cache")
-            scope.spawn(self._hear, kind=PEERS, name="peers")
-            if self.entry.admin:
-                self.admin.listen(address(self.entry.admin), scope)
-            self.front.listen(listener)
-            if self.entry.resp:
-                self.resp.listen(world.listen(address(self.entry.resp)))
-            self.ready = True
-            self.log.info("started", listen=self.entry.listen, rank=self.rank)
+            self.giving = GivingSide(self, scope)
+            if self.take_over:
+                self.taking = TakingSide(self, scope)
+                if not self.taking.take_over():
+                    self.failed = self.taking.ended_because
+                    scope.cancel()
+                    return
+            else:
+                for name in ("http", "peer"):
+                    self.open(name)
+                self.build(scope)
+                self.start_serving(scope)
+                self.giving.listen()
             self._until_drained()
+            self.giving.part()
             if self.host.recorder is not None:
                 self.host.recorder.finish()
             scope.cancel()
-        self.datagrams.close()
-        self.log.info("ended")
+        for place in self.places.values():
+            place.close()
+        if self.take_over:
+            self.failed = self.taking.ended_because
+        self.log.info("ended", why=self.failed)
 
-    def _build(self, scope: Scope) -> None:
+    # -- places
+
+    def open(self, name: str) -> None:
+        """Bind the address that the settings have for a place, if they have one and it is not ours yet."""
+        world, entry = self.loop.world, self.entry
+        if name in self.places:
+            return
+        if name == "peer":
+            self.places[name] = world.datagrams(address(entry.peer))
+            return
+        wanted = {"http": entry.listen, "resp": entry.resp, "admin": entry.admin}
+        at = upgrade_address(self.fleet, entry) if name == "upgrade" else None
+        if wanted.get(name):
+            at = address(wanted[name])
+        if at is not None:
+            self.places[name] = world.listen(at)
+
+    def adopt_places(self, handles: dict[str, Handle]) -> None:
+        """Take over the places of the process before us."""
+        world = self.loop.world
+        for name, handle in handles.items():
+            adopt = world.adopt_datagrams if name == "peer" else world.adopt_listener
+            self.places[name] = adopt(handle)
+
+    # -- parts
+
+    def read(self, number: int) -> None:
+        """Read description and customers beside the loop. Raises what ``read_knowledge`` does."""
+        world = self.loop.world
+        if not self.given:
+            self.knowledge = world.aside(lambda: read_knowledge(world, self.fleet, number, self.log))
+
+    def build(self, scope: Scope) -> None:
+        """Make all parts; none of them does anything yet."""
+        self.scope = scope
         settings = module_settings(self.fleet, self.rank, self.knowledge.generation)
         intakes = self.fleet.peers.intake, self.fleet.limits.intake
         self.inbox = Inbox(self.secret, self.rank, len(self.peers), self.loop.now(), *intakes)
@@ -100,7 +149,7 @@
             "nodes": ("Nodes on the list", lambda: len(self.tracker.nodes)),
             "longest_turn_seconds": ("Longest turn of the loop", lambda: self.loop.longest_turn / 1e6),
         }
-        self.limits = LimitService(self.loop, self.fleet, self.rank, self.host, self._tell_limits, scope)
+        self.limits = LimitService(self.loop, self.fleet, self.rank, self.host, self.tell_limits, scope)
         self.resp = RespFront(self.loop, self.fleet, self.limits, lambda: self.knowledge, scope)
         self.admin = Admin(
             self.loop,
@@ -115,6 +164,59 @@
         cache = f"{self.fleet.state}/{self.entry.name}.nodes.json" if self.fleet.state else ""
         self.watch = Watch(self.loop, self.fleet, self.tracker, self.entry.name, cache, self._listed)
 
+    def start_serving(self, scope: Scope) -> None:
+        """Take requests; what is not bound or taken over yet is bound here."""
+        if not self.take_over:
+            self.watch.restore()
+        for name in ("http", "peer", "resp", "admin"):
+            self.open(name)
+        self.host.start()
+        if self.record_to:
+            self._record(scope, self.record_to)
+        scope.spawn(self.watch.work, kind=CONTROL, name="node list")
+        scope.spawn(self.watch.keep, kind=BACKGROUND, name="node list's cache")
+        self._listen()
+        self.front.listen(self.places["http"])
+        if "resp" in self.places:
+            self.resp.listen(self.places["resp"])
+        self.ready = True
+        self.log.info("started", listen=self.entry.listen, rank=self.rank, pid=os.getpid())
+
+    def _listen(self) -> None:
+        self._hearing = self.scope.spawn(self._hear, kind=PEERS, name="peers")
+        if "admin" in self.places:
+            self.admin.listen(self.places["admin"], self.scope)
+
+    # -- another process in our place
+
+    def lend(self, lent: Lent) -> None:
+        """Units are another process's to decide on from here on; what is held here asks it."""
+        self.quiet = True
+        self.host.lent = lent
+        self.limits.lent = lent
+        for exchange in self.host.exchanges.values():
+            exchange.held_at_moment = not exchange.sends
+
+    def hold(
+        self, pass_http: Callable[[http_front.Connection], None], pass_resp: Callable[[Session], None]
+    ) -> None:
+        """Take nothing new at any place; the clients are passed on between two requests."""
+        self.loop.cancel(self._hearing)
+        self.admin.hold()
+        self.front.hold(pass_http)
+        if "resp" in self.places:
+            self.resp.hold(pass_resp)
+
+    def take_back(self) -> None:
+        """Serve again: nobody else does."""
+        self.quiet = False
+        self.host.lent = None
+        self.limits.hold_back()
+        self._listen()
+        self.front.resume()
+        if "resp" in self.places:
+            self.resp.resume()
+
     def _names(self) -> Names:
         return self.knowledge.generation.class_names, tuple(self.fleet.plans)
 
@@ -143,15 +245,19 @@
         while not self.stopping:
             self.loop.sleep(5 * DRAIN_LOOK)
         self.front.drain()
-        if self.entry.resp:
+        if "resp" in self.places:
             self.resp.drain()
         by = self.loop.now() + self.fleet.times.drain
         while (self.front.connections or self.resp.sessions) and self.loop.now() < by:
             self.loop.sleep(DRAIN_LOOK)
 
     def stop(self) -> None:
-        """Begin to drain."""
-        self.stopping = True
+        """Begin to drain; while a successor is on trial, let it go on alone or give everything back first."""
+        self.giving.feed(giver.Stopped())
+        if self.take_over and self.taking.machine.phase is taker.Phase.TRIAL:
+            self.taking.feed(taker.Stopped())
+        else:
+            self.stopping = True
 
     def reload(self) -> None:
         """Read description and customers anew, beside the traffic; what can't be used changes nothing."""
@@ -173,18 +279,27 @@
     def _listed(self, listed: api.ServerListed) -> None:
         self.host.feed(listed)
 
-    def _tell_limits(self, rank: int, body: bytes) -> None:
-        self._tell(rank, body, LIMITS)
+    def tell_limits(self, rank: int, body: bytes) -> None:
+        """A question or answer of the limits: sealed by whoever serves in this gateway's name."""
+        if self.giving.lent is not None and self.quiet:
+            self.giving.lent.channel.send(messages.Tell(rank, body))
+        elif rank == self.rank:
+            self.taking.own_reply(body)  # to a question of the process before us
+        else:
+            self._tell(rank, body, LIMITS)
 
     def _tell(self, rank: int, body: bytes, kind: int = MODULE) -> None:
+        if self.quiet:
+            return
         self.sequence += 1
         self.metrics.told += 1
         sealed = seal(self.secret, self.rank, rank, self.incarnation, self.sequence, body, kind)
-        self.datagrams.send(sealed, self.peers[rank])
+        self.places["peer"].send(sealed, self.peers[rank])
 
     def _hear(self) -> None:
+        datagrams = self.places["peer"]
         while True:
-            data, _ = self.datagrams.recv()
+            data, _ = datagrams.recv()
             taken = self.inbox.take(self.loop.now(), data[: SIZE_MOST + 1])
             if taken is not None:
                 self.metrics.heard += 1
--- a/orchidlane/gateway/respfront.py
+++ b/orchidlane/gateway/respfront.py
@@ -13,11 +13,12 @@
 
 from .. import resp
 from ..limits import LedgerError, Outcome
-from ..loop import REQUESTS, Closed, Expired, Listener, Loop, Scope, Stream
+from ..loop import REQUESTS, Closed, Expired, Listener, Loop, Scope, Stream, Task
 from ..resp import ErrorReply, Simple
 from ..routes import Generation
 from .customers import Customer
 from .door import accept_clients
+from .front import Watcher
 from .knowledge import Knowledge
 from .limits import LimitService, NoAnswer
 from .settings import Fleet
@@ -34,7 +35,7 @@
 class Session:
     """One client: its protocol version, name, and whether it has shown its password."""
 
-    __slots__ = ("authorized", "busy", "decoder", "name", "number", "stream", "version")
+    __slots__ = ("authorized", "busy", "decoder", "name", "number", "passed", "stream", "task", "version")
 
     def __init__(self, stream: Stream, number: int, limits: resp.Limits, authorized: bool) -> None:
         self.stream = stream
@@ -44,6 +45,8 @@
         self.name = b""
         self.authorized = authorized
         self.busy = False  # a command is being carried out
+        self.passed = False  # it is another process's now
+        self.task: Task | None = None
 
 
 class RespFront:
@@ -69,7 +72,10 @@
         self.sessions: dict[Session, None] = {}
         self.draining = False
         self.listener: Listener
-        self._numbers = 0
+        self.pass_on: Callable[[Session], None] | None = None  # gets each session between two commands
+        self.watcher: Watcher | None = None  # is told of sessions while another process may need them
+        self._accepting: Task
+        self._numbers = loop.now()  # a later process of this gateway numbers on from later
         self.commands: dict[bytes, tuple[Callable[[Session, list[bytes]], Any], int, int]] = {
             b"PING": (self._ping, 0, 1),
             b"ECHO": (lambda _, words: words[0], 1, 1),
@@ -100,19 +106,55 @@
     def listen(self, listener: Listener) -> None:
         """Take clients from a listener."""
         self.listener = listener
-        self.scope.spawn(self._accept, kind=REQUESTS, name="accept resp")
+        self._accepting = self.scope.spawn(self._accept, kind=REQUESTS, name="accept resp")
+
+    def hold(self, pass_on: Callable[[Session], None]) -> None:
+        """Take no more clients, who wait at the listener; each that we have is passed on between commands."""
+        self.loop.cancel(self._accepting)
+        self.pass_on = pass_on
+        for session in list(self.sessions):
+            if not session.busy:
+                self._pass(session)
+
+    def resume(self) -> None:
+        """Take clients again."""
+        self.pass_on = None
+        self._accepting = self.scope.spawn(self._accept, kind=REQUESTS, name="accept resp")
+
+    def _pass(self, session: Session) -> None:
+        assert self.pass_on is not None and session.task is not None
+        session.passed = True
+        self.sessions.pop(session, None)
+        self.pass_on(session)
+        self.loop.cancel(session.task)
+
+    def adopt(self, stream: Stream, unread: bytes, facts: tuple[int, bytes, bool], number: int) -> None:
+        """Serve a client that another process passed on between two commands."""
+        session = Session(stream, number, self.limits, facts[2])
+        session.version, session.name = facts[:2]
+        session.decoder.receive(unread)
+        self._begin(session)
+
+    def next_number(self) -> int:
+        """A number that no other session has."""
+        self._numbers += 1
+        return self._numbers
 
     def _accept(self) -> None:
         accept_clients(self.loop, self.listener, self._take_client)
 
     def _take_client(self, stream: Stream) -> None:
-        self._numbers += 1
         if len(self.sessions) >= self.terms.connections:
             self.scope.spawn(self._turn_away, stream, kind=REQUESTS, name="resp turned away")
             return
-        session = Session(stream, self._numbers, self.limits, not self.terms.passwords)
+        session = Session(stream, self.next_number(), self.limits, not self.terms.passwords)
+        if self.watcher is not None:
+            self.watcher.opened(session.number, stream)
+        self._begin(session)
+
+    def _begin(self, session: Session) -> None:
         self.sessions[session] = None
-        self.scope.spawn(self._client, session, kind=REQUESTS, name="resp client")
+        session.task = self.scope.spawn(self._client, session, kind=REQUESTS, name="resp client")
 
     def _turn_away(self, stream: Stream) -> None:
         try:
@@ -133,15 +175,23 @@
 
     def _client(self, session: Session) -> None:
         try:
-            while self._more(session):
+            session.busy = True  # what was passed on with it comes first
+            self._answer_all(session)
+            session.busy = False
+            while self.pass_on is None and self._more(session):
                 session.busy = True
                 self._answer_all(session)
                 session.busy = False
+            if self.pass_on is not None and not session.passed:
+                self._pass(session)
         except (Closed, Expired):
             pass
         finally:
             self.sessions.pop(session, None)
-            session.stream.close()
+            if not session.passed:
+                session.stream.close()
+                if self.watcher is not None:
+                    self.watcher.ended(session.number)
 
     def _more(self, session: Session) -> bool:
         """Read once: long for a new command, shorter for the rest of one."""
@@ -154,9 +204,11 @@
     def _answer_all(self, session: Session) -> None:
         out = bytearray()
         try:
-            while (words := session.decoder.next_command()) is not None:
+            while self.pass_on is None and (words := session.decoder.next_command()) is not None:
                 if not words:
                     continue
+                if self.watcher is not None:
+                    self.watcher.began(session.number)
                 out += resp.encode(self._reply(session, words), session.version)
                 quits = words[0].upper() == b"QUIT"
                 if len(out) >= FLUSH or quits:
@@ -171,9 +223,13 @@
         self._write(session, out)
         if self.draining:
             raise Closed("draining")
+        if self.watcher is not None:
+            self.watcher.idle(session.number)
 
     def _write(self, session: Session, out: bytearray) -> None:
         if out:
+            if self.watcher is not None:
+                self.watcher.answering(session.number)
             session.stream.send(bytes(out), self.loop.now() + self.fleet.times.write)
             out.clear()
 
--- a/orchidlane/gateway/schema.cue
+++ b/orchidlane/gateway/schema.cue
@@ -99,6 +99,13 @@
 	items:        *1024 | int & >=1 // words of a command
 }
 
+// Handing over to a successor; only with a folder for the state.
+#Upgrade: {
+	warm:    *"60s" | #Duration // to copy the state and for the successor's own check
+	trial:   *"5s" | #Duration // the old process stands by so long
+	silence: *"1500ms" | #Duration // a successor that says nothing for so long hangs
+}
+
 #Fleet: {
 	description:  string // an OpenAPI file
 	customers:    string // a JSON file
@@ -110,6 +117,7 @@
 	bounds:       #Bounds
 	times:        #Times
 	limits:       #Limits
+	upgrade:      #Upgrade
 	max_attempts: *3 | int & >=1 & <=16
 	log_requests: *false | bool
 }
--- a/orchidlane/gateway/settings.py
+++ b/orchidlane/gateway/settings.py
@@ -16,6 +16,7 @@
 
 SCHEMA = Path(__file__).with_name("schema.cue")
 SECRET_LEAST = 16  # bytes
+PATH_MOST = 107  # bytes of a Unix socket's path, unix(7)
 
 
 class Ceiling(msgspec.Struct, frozen=True):
@@ -122,6 +123,14 @@
     items: int
 
 
+class UpgradeTerms(msgspec.Struct, frozen=True):
+    """See ``#Upgrade``; spans in microseconds."""
+
+    warm: Duration
+    trial: Duration
+    silence: Duration
+
+
 class Fleet(msgspec.Struct, frozen=True):
     """See ``#Fleet``."""
 
@@ -135,6 +144,7 @@
     bounds: Bounds
     times: Times
     limits: LimitTerms
+    upgrade: UpgradeTerms
     max_attempts: int
     log_requests: bool
 
@@ -170,6 +180,21 @@
     return host, int(port)
 
 
+def upgrade_address(fleet: Fleet, entry: GatewayEntry) -> Address | None:
+    """The Unix socket at which a gateway hands over to its successor; none without a folder for its state.
+
+    Raises ValueError where the path is too long for one.
+    """
+    if not fleet.state:
+        return None
+    path = os.path.abspath(f"{fleet.state}/{entry.name}.upgrade")
+    if len(os.fsencode(path)) > PATH_MOST:
+        raise ValueError(
+            f"state: {path} is longer than the {PATH_MOST} bytes that a Unix socket's path may have"
+        )
+    return path, 0
+
+
 def read_secret(path: str) -> bytes:
     """The fleet's key for datagrams. Raises ValueError where it is too short or others may read it."""
     with open(path, "rb") as file:
--- a/orchidlane/gateway/upstream.py
+++ b/orchidlane/gateway/upstream.py
@@ -186,6 +186,8 @@
 
     def _carry(self) -> tuple[Outcome, Answer | None]:
         body = self.exchange.body
+        if not self._is_paid():
+            return Outcome.NEVER_SENT, None
         if not body.replayable:
             return Outcome.NEVER_SENT, None  # its beginning was let go after an earlier attempt
         try:
@@ -211,6 +213,15 @@
                 self.up.pool.drop(self.server, connection)
         return outcome, answer
 
+    def _is_paid(self) -> bool:
+        """A request that was held when our successor took over is counted there before it first leaves."""
+        exchange, lent = self.exchange, self.up.host.lent
+        if lent is not None and exchange.held_at_moment and not exchange.paid:
+            operation = exchange.match.operation
+            exchange.paid = lent.take(exchange.customer, operation.cost, operation.kind)
+            return exchange.paid
+        return True
+
     def _leaving(self) -> Leaving:
         cls = self.exchange.cls
         phase = self.up.nodes.phase(self.server)
--- a/orchidlane/http1/parser.py
+++ b/orchidlane/http1/parser.py
@@ -88,6 +88,11 @@
             self.state = State.DEAD
             raise
 
+    @property
+    def unread(self) -> bytes:
+        """The bytes that no event was made of yet; between two messages they are all that is known."""
+        return bytes(self._buffer)
+
     def next_message(self) -> None:
         """Go on to the message after this one."""
         assert self.state is State.DONE, self.state
--- a/orchidlane/interface.py
+++ b/orchidlane/interface.py
@@ -263,6 +263,20 @@
     took: int
 
 
+@dataclass(frozen=True, slots=True)
+class Counted:
+    """What another process of this very gateway counted under our rank, before or after us."""
+
+    topic: ClassVar[str] = "counted"
+
+    customer: int
+    plan: int
+    set_first: int
+    set_size: int
+    start: int
+    value: float
+
+
 Event = (
     ServerListed
     | RequestArrived
@@ -274,6 +288,7 @@
     | ProbeEnded
     | PeerMessage
     | CounterAnswered
+    | Counted
 )
 
 
--- a/orchidlane/limits/ledger.py
+++ b/orchidlane/limits/ledger.py
@@ -52,6 +52,7 @@
         self.credit_life = credit_life
         self._grants: dict[bytes, _Grant] = {}
         self._due: list[tuple[int, bytes]] = []
+        self.touched: dict[bytes, None] | None = None  # grants that changed, while somebody watches
         self._credits: OrderedDict[int, _Credit] = OrderedDict()  # in the order of their expiry
 
     def __len__(self) -> int:
@@ -65,6 +66,7 @@
         expires = now + (self.life if span is None else span)
         self._grants[name] = _Grant(customer, units, expires, reserved=span is not None)
         heapq.heappush(self._due, (expires, name))
+        self._touch(name)
 
     def full(self, now: int) -> bool:
         """Whether no further grant can be remembered."""
@@ -93,6 +95,7 @@
         if grant.expires <= now:
             return Outcome.EXPIRED
         grant.ended = Outcome.DONE
+        self._touch(name)
         if back:
             self._add_credit(now, grant)
         return Outcome.DONE
@@ -106,10 +109,54 @@
                 continue
             if grant.ended is None and grant.reserved:
                 grant.ended = Outcome.EXPIRED
+                self._touch(name)
                 self._add_credit(now, grant)
                 heapq.heappush(self._due, (now + self.life, name))
             else:
                 del self._grants[name]
+                self._touch(name)
+
+    # -- to another process of this gateway
+
+    def _touch(self, name: bytes) -> None:
+        if self.touched is not None:
+            self.touched[name] = None
+
+    def names(self) -> list[bytes]:
+        """All grants that are remembered."""
+        return list(self._grants)
+
+    def row(self, name: bytes) -> list[object] | None:
+        """A grant as plain values, None where it is not remembered."""
+        grant = self._grants.get(name)
+        if grant is None:
+            return None
+        ended = grant.ended.value if grant.ended else ""
+        return [name, grant.customer, grant.units, grant.expires, grant.reserved, ended]
+
+    def load(self, row: list[object]) -> None:
+        """Remember a grant as ``row`` told it."""
+        name, customer, units, expires, reserved, ended = row
+        outcome = Outcome(ended) if ended else None
+        self._grants[name] = _Grant(customer, units, expires, reserved, outcome)  # type: ignore
+        due = expires + self.life if outcome is not None else expires  # type: ignore
+        heapq.heappush(self._due, (due, name))  # type: ignore
+
+    def forget(self, name: bytes) -> None:
+        """A grant that was told is not remembered any more."""
+        self._grants.pop(name, None)
+
+    def credits(self) -> list[tuple[int, float, int]]:
+        """All credits: customer, units, when they expire."""
+        return [(customer, one.units, one.expires) for customer, one in self._credits.items()]
+
+    def load_credits(self, rows: list[tuple[int, float, int]]) -> None:
+        """Take credits over, in the order in which they were told."""
+        self._credits = OrderedDict((row[0], _Credit(row[1], row[2])) for row in rows)
+
+    def drop_credits(self) -> None:
+        """They are another process's now."""
+        self._credits.clear()
 
     def _add_credit(self, now: int, grant: _Grant) -> None:
         """What comes back joins the customer's credit; at the bound the oldest credit goes."""
--- a/orchidlane/limits/tokens.py
+++ b/orchidlane/limits/tokens.py
@@ -73,6 +73,7 @@
         self.life = life
         self.most = most
         self.sure_from = now + life
+        self.touched: dict[bytes, None] | None = None  # tokens that changed, while somebody watches
         self._entries: OrderedDict[bytes, _Entry] = OrderedDict()  # in the order of their expiry
 
     def __len__(self) -> int:
@@ -86,6 +87,7 @@
         if now < self.sure_from or len(self._entries) >= self.most:
             return State.UNSURE, -1, 0.0
         self._entries[name] = _Entry(claimant, now + self.life)
+        self._touch(name)
         return State.FRESH, claimant[0], 0.0
 
     def look(self, now: int, name: bytes) -> tuple[State, int, float]:
@@ -108,14 +110,43 @@
             return
         if entry is not None:
             entry.claimant, entry.granted, entry.units = claimant, True, units
+            self._touch(name)
         elif len(self._entries) < self.most:
             self._entries[name] = _Entry(claimant, now + self.life, True, units)
+            self._touch(name)
 
     def give_up(self, now: int, name: bytes, claimant: tuple[int, int]) -> None:
         """The claimant counted nothing: its own unsettled claim goes."""
         entry = self._find(now, name)
         if entry is not None and not entry.granted and entry.claimant == claimant:
             del self._entries[name]
+            self._touch(name)
+
+    # -- to another process of this gateway
+
+    def _touch(self, name: bytes) -> None:
+        if self.touched is not None:
+            self.touched[name] = None
+
+    def names(self) -> list[bytes]:
+        """All tokens that are held."""
+        return list(self._entries)
+
+    def row(self, name: bytes) -> list[object] | None:
+        """A token as plain values, None where it is not held."""
+        entry = self._entries.get(name)
+        if entry is None:
+            return None
+        return [name, *entry.claimant, entry.expires, entry.granted, entry.units]
+
+    def load(self, row: list[object]) -> None:
+        """Hold a token as ``row`` told it."""
+        name, rank, number, expires, granted, units = row
+        self._entries[name] = _Entry((rank, number), expires, granted, units)  # type: ignore
+
+    def forget(self, name: bytes) -> None:
+        """A token that was told is not held any more."""
+        self._entries.pop(name, None)
 
     def _find(self, now: int, name: bytes) -> _Entry | None:
         while self._entries:
@@ -123,7 +154,8 @@
             if first.expires > now:
                 break
             self._entries.popitem(last=False)
-        return self._entries.get(name)
+        entry = self._entries.get(name)  # loaded ones may stand out of their order
+        return entry if entry is not None and entry.expires > now else None
 
 
 @dataclass(slots=True)
--- a/orchidlane/loop/real.py
+++ b/orchidlane/loop/real.py
@@ -2,19 +2,24 @@
 
 from __future__ import annotations
 
+import array
 import contextlib
 import errno
 import os
 import random
 import select
+import signal
 import socket
+import stat
+import struct
 import threading
 import time
+from collections import deque
 from collections.abc import Callable
 from typing import TYPE_CHECKING, Any
 
 from .errors import Closed, NotConnected
-from .world import Address
+from .world import Address, show
 
 if TYPE_CHECKING:
     from .scheduler import Loop, Task
@@ -69,13 +74,13 @@
 
     def connect(self, to: Address, deadline: int | None = None) -> RealStream:
         try:
-            sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+            sock = socket.socket(_family(to), socket.SOCK_STREAM)
         except OSError as error:
             raise NotConnected(str(error)) from None
         sock.setblocking(False)
         stream = RealStream(self, sock, to)
         try:
-            code = sock.connect_ex(to)
+            code = sock.connect_ex(_where(to))
             if code == errno.EINPROGRESS:
                 stream.wait_write(deadline)
                 code = sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
@@ -87,15 +92,18 @@
         return stream
 
     def listen(self, at: Address, backlog: int = 1024) -> RealListener:
-        sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        sock = socket.socket(_family(at), socket.SOCK_STREAM)
         sock.setblocking(False)
         try:
-            sock.bind(at)
+            if sock.family == socket.AF_UNIX:
+                _bind_path(sock, at[0])
+            else:
+                sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+                sock.bind(at)
             sock.listen(backlog)
-        except OSError:
+        except OSError as error:
             sock.close()
-            raise
+            raise OSError(error.errno, error.strerror, show(at)) from None
         return RealListener(self, sock)
 
     def datagrams(self, at: Address) -> RealDatagrams:
@@ -103,15 +111,31 @@
         sock.setblocking(False)
         try:
             sock.bind(at)
-        except OSError:
+        except OSError as error:
             sock.close()
-            raise
+            raise OSError(error.errno, error.strerror, show(at)) from None
         return RealDatagrams(self, sock)
 
-    def adopt(self, sock: socket.socket) -> RealStream:
-        """A stream over a socket that is already connected (a pair, a signal's wake-up)."""
-        sock.setblocking(False)
-        return RealStream(self, sock, ("", 0))
+    def adopt_stream(self, handle: socket.socket) -> RealStream:
+        handle.setblocking(False)
+        return RealStream(self, handle, ("", 0))
+
+    def adopt_listener(self, handle: socket.socket) -> RealListener:
+        handle.setblocking(False)
+        return RealListener(self, handle)
+
+    def adopt_datagrams(self, handle: socket.socket) -> RealDatagrams:
+        handle.setblocking(False)
+        return RealDatagrams(self, handle)
+
+    def drop(self, handle: socket.socket) -> None:
+        handle.close()
+
+    def clock_base(self) -> int:
+        return self._offset
+
+    def follow_clock(self, base: int) -> None:
+        self._offset = base  # the monotonic clock is the machine's, so the two processes' clocks are one
 
     def aside(self, work: Callable[[], Any]) -> Any:
         ours, theirs = socket.socketpair()
@@ -124,7 +148,7 @@
                 found.append((None, error))
             theirs.close()  # wakes the loop
 
-        stream = self.adopt(ours)
+        stream = self.adopt_stream(ours)
         threading.Thread(target=run, name="aside", daemon=True).start()
         try:
             stream.recv()
@@ -167,6 +191,32 @@
             os.close(number)
 
 
+def _family(at: Address) -> socket.AddressFamily:
+    return socket.AF_UNIX if at[0].startswith("/") else socket.AF_INET
+
+
+def _where(at: Address) -> Any:
+    return at[0] if at[0].startswith("/") else at
+
+
+def _bind_path(sock: socket.socket, path: str) -> None:
+    """Bind a path for this user alone; one that a dead process left behind is replaced."""
+    with contextlib.suppress(FileNotFoundError):
+        if stat.S_ISSOCK(os.stat(path).st_mode) and _is_dead(path):
+            os.remove(path)
+    before = os.umask(0o177)
+    try:
+        sock.bind(path)
+    finally:
+        os.umask(before)
+
+
+def _is_dead(path: str) -> bool:
+    with socket.socket(socket.AF_UNIX, socket.SOCK_STREAM) as probe:
+        probe.setblocking(False)
+        return probe.connect_ex(path) == errno.ECONNREFUSED
+
+
 class _Descriptor:
     """A polled socket, with the tasks that wait to read and to write."""
 
@@ -240,6 +290,10 @@
         self._want(READ)
         self.reader = task
 
+    def share(self) -> socket.socket:
+        """A second hold on the socket."""
+        return self.sock.dup()
+
     def close(self) -> None:
         """Close, and wake who waits."""
         if self.closed:
@@ -254,31 +308,34 @@
 
 
 class RealStream(_Descriptor):
-    """A TCP connection."""
+    """A connection, over TCP or a Unix socket."""
 
     def __init__(self, world: RealWorld, sock: socket.socket, peer: Address) -> None:
         super().__init__(world, sock)
         self.peer = peer
         self.sent = 0
-        if sock.family == socket.AF_INET:
+        self.shared = False  # another hold exists: only a shutdown ends the connection
+        self.is_unix = sock.family == socket.AF_UNIX
+        self._handles: deque[socket.socket | None] = deque()
+        if not self.is_unix:
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
 
     def try_recv(self, most: int = 65536) -> bytes | None:
         if self.closed:
             raise Closed("closed on our side")
         try:
-            return self.sock.recv(most)
+            return self._recv_with(most) if self.is_unix else self.sock.recv(most)
         except BlockingIOError:
             return None
         except OSError as error:
             raise Closed(str(error)) from None
 
     def recv(self, most: int = 65536, deadline: int | None = None) -> bytes:
+        self.world.loop.breathe()  # before the read: a cancel may not lose what was read
         while True:
             data = None if self.drained and not self.closed else self.try_recv(most)
             if data is not None:
                 self.drained = 0 < len(data) < most
-                self.world.loop.breathe()
                 return data
             self.wait_read(deadline)
             self.drained = False
@@ -293,11 +350,61 @@
                 view = view[done:]
         self.world.loop.breathe()
 
-    def _send_some(self, data: bytes | memoryview) -> int:
+    def _recv_with(self, most: int) -> bytes:
+        """Bytes, and the handles that came with them; those that no descriptor was left for are lost."""
+        data, extras, flags, _ = self.sock.recvmsg(most, socket.CMSG_SPACE(4))
+        if flags & socket.MSG_CTRUNC:
+            self._handles.append(None)  # it keeps its place among the others
+        for level, kind, numbers in extras:
+            if (level, kind) == (socket.SOL_SOCKET, socket.SCM_RIGHTS):
+                for (number,) in struct.iter_unpack("i", numbers[: len(numbers) // 4 * 4]):
+                    self._handles.append(socket.socket(fileno=number))
+        return data
+
+    def take_handle(self) -> socket.socket | None:
+        return self._handles.popleft() if self._handles else None
+
+    def send_with(self, data: bytes, handle: socket.socket, deadline: int | None = None) -> None:
+        rights = [(socket.SOL_SOCKET, socket.SCM_RIGHTS, array.array("i", [handle.fileno()]))]
+        try:
+            while not (done := self._send_some(data, rights)):
+                self.wait_write(deadline)
+        finally:
+            handle.close()
+        if done < len(data):
+            self.send(data[done:], deadline)
+
+    def kill_peer(self) -> None:
+        credentials = self.sock.getsockopt(socket.SOL_SOCKET, socket.SO_PEERCRED, struct.calcsize("3i"))
+        pid = struct.unpack("3i", credentials)[0]
+        if pid > 0 and pid != os.getpid():
+            with contextlib.suppress(ProcessLookupError):
+                os.kill(pid, signal.SIGKILL)
+
+    def share(self) -> socket.socket:
+        self.shared = True
+        return super().share()
+
+    def release(self) -> None:
+        super().close()
+
+    def close(self) -> None:
+        if self.shared and not self.closed:
+            with contextlib.suppress(OSError):
+                self.sock.shutdown(socket.SHUT_RDWR)
+        for handle in filter(None, self._handles):
+            handle.close()
+        self._handles.clear()
+        super().close()
+
+    def try_send(self, data: bytes) -> int:
+        return self._send_some(data)
+
+    def _send_some(self, data: bytes | memoryview, extras: Any = None) -> int:
         if self.closed:
             raise Closed("closed on our side")
         try:
-            done = self.sock.send(data)
+            done = self.sock.sendmsg([data], extras) if extras else self.sock.send(data)
         except BlockingIOError:
             return 0
         except OSError as error:
@@ -322,7 +429,8 @@
 
     def __init__(self, world: RealWorld, sock: socket.socket) -> None:
         super().__init__(world, sock)
-        self.address: Address = sock.getsockname()
+        name = sock.getsockname()
+        self.address: Address = (name, 0) if isinstance(name, str) else name
 
     def accept(self, deadline: int | None = None) -> RealStream:
         self.world.loop.breathe()
@@ -339,7 +447,7 @@
                     raise NotConnected(str(error)) from None
                 raise Closed(str(error)) from None
             sock.setblocking(False)
-            return RealStream(self.world, sock, peer)
+            return RealStream(self.world, sock, peer or self.address)
 
 
 class RealDatagrams(_Descriptor):
--- a/orchidlane/loop/simulated.py
+++ b/orchidlane/loop/simulated.py
@@ -50,6 +50,7 @@
         self.sockets: dict[Address, SimDatagrams] = {}
         self.streams: dict[Process, dict[SimStream, None]] = {}
         self.cuts: set[frozenset[str]] = set()
+        self.no_descriptors = False  # handles that arrive are lost
         self._next_port = 40_000
 
     def attach(self, loop: Loop) -> None:
@@ -72,13 +73,16 @@
         return process
 
     def kill(self, process: Process) -> None:
-        """The process ends without a word; its connections are reset, its addresses free."""
+        """The process ends without a word; its connections are reset, its addresses free.
+
+        What another process holds as well stays, as in a kernel.
+        """
         for stream in list(self.streams.pop(process, ())):
-            stream.abort()
-        for listener in [it for it in self.listeners.values() if it.process is process]:
-            listener.close()
-        for socket in [it for it in self.sockets.values() if it.process is process]:
-            socket.close()
+            stream.lose(process)
+        for listener in [it for it in self.listeners.values() if process in it.holders]:
+            listener.lose(process)
+        for socket in [it for it in self.sockets.values() if process in it.holders]:
+            socket.lose(process)
         self.loop.kill(process)
 
     def cut(self, one: str, other: str) -> None:
@@ -102,7 +106,7 @@
 
     def _port(self, at: Address, taken: dict[Address, Any]) -> Address:
         host, port = at
-        if port == 0:
+        if port == 0 and not host.startswith("/"):
             self._next_port += 1
             port = self._next_port
         if (host, port) in taken:
@@ -119,10 +123,11 @@
         listener = self.listeners.get(tuple(to))  # type: ignore[arg-type]
         if listener is None or listener.full():
             raise NotConnected("refused")
-        if self.is_cut(loop.process, listener.process):
+        if self.is_cut(loop.process, listener.process) and not to[0].startswith("/"):
             loop.park(deadline if deadline is not None else loop.now() + 60_000_000)
         mine, theirs = SimStream(self, loop.process, to), SimStream(self, listener.process, ("sim", 0))
         mine.other, theirs.other = theirs, mine
+        mine.local = theirs.local = to[0].startswith("/")
         listener.arrive(theirs)
         return mine
 
@@ -136,6 +141,32 @@
         self.sockets[address] = found = SimDatagrams(self, address)
         return found
 
+    def adopt_stream(self, handle: _Handle) -> SimStream:
+        stream = handle.taken_by(self.loop.process)
+        assert isinstance(stream, SimStream)
+        stream.process, stream.closed = self.loop.process, False
+        self.streams.setdefault(stream.process, {})[stream] = None
+        return stream
+
+    def adopt_listener(self, handle: _Handle) -> SimListener:
+        listener = handle.taken_by(self.loop.process)
+        assert isinstance(listener, SimListener)
+        return listener
+
+    def adopt_datagrams(self, handle: _Handle) -> SimDatagrams:
+        found = handle.taken_by(self.loop.process)
+        assert isinstance(found, SimDatagrams)
+        return found
+
+    def drop(self, handle: _Handle) -> None:
+        handle.what.lose(handle)
+
+    def clock_base(self) -> int:
+        return 0
+
+    def follow_clock(self, base: int) -> None:
+        """There is one clock here."""
+
     def aside(self, work: Callable[[], Any]) -> Any:
         return work()  # takes no virtual time
 
@@ -156,7 +187,41 @@
             self.files[path] = self.files.get(path, b"") + data
 
 
-class SimStream:
+class _Held:
+    """What several processes may hold: it ends with the last hold."""
+
+    holders: dict[Any, None]  # processes, and handles on their way
+
+    def share(self) -> _Handle:
+        """A second hold, on its way."""
+        handle = _Handle(self)
+        self.holders[handle] = None
+        return handle
+
+    def lose(self, holder: Any) -> None:
+        """One hold is gone."""
+        self.holders.pop(holder, None)
+        if not self.holders:
+            self._end_hold()
+
+    def _end_hold(self) -> None:
+        raise NotImplementedError
+
+
+class _Handle:
+    """A hold that no process has yet."""
+
+    def __init__(self, what: _Held) -> None:
+        self.what = what
+
+    def taken_by(self, process: Process) -> _Held:
+        """It is the process's from here on."""
+        self.what.holders.pop(self, None)
+        self.what.holders[process] = None
+        return self.what
+
+
+class SimStream(_Held):
     """One end of a connection."""
 
     def __init__(self, world: SimWorld, process: Process, peer: Address) -> None:
@@ -174,6 +239,9 @@
         self.finished = False  # we send no more
         self.reader: Task | None = None
         self.writer: Task | None = None
+        self.holders = {process: None}
+        self.local = False  # over a Unix socket
+        self.handles: deque[_Handle | None] = deque()
         self._last = 0  # when the latest delivery to us is due: they keep their order
         world.streams.setdefault(process, {})[self] = None
 
@@ -237,10 +305,10 @@
         return data
 
     def recv(self, most: int = 65536, deadline: int | None = None) -> bytes:
+        self.world.loop.breathe()
         while True:
             data = self.try_recv(most)
             if data is not None:
-                self.world.loop.breathe()
                 return data
             self.reader = self.world.loop.current
             try:
@@ -257,61 +325,111 @@
     def send(self, data: bytes, deadline: int | None = None) -> None:
         at = 0
         while at < len(data):
-            self._check()
-            space = WINDOW - self.other.held
-            if space <= 0:
+            done = self.try_send(data[at:])
+            at += done
+            if not done:
                 self.writer = self.world.loop.current
                 try:
                     self.world.loop.park(deadline)
                 finally:
                     self.writer = None
-                continue
-            part = bytes(data[at : at + space])
-            at += len(part)
-            self.sent += len(part)
-            self.other.held += len(part)
-            if self.world.random.random() < self.world.faults.reset_chance:
-                self.other._deliver(self.other._fail, None)
-                self._deliver(self._fail, None)
-            else:
-                self.other._deliver(self.other._arrive, part)
         self.world.loop.breathe()
 
+    def try_send(self, data: bytes) -> int:
+        self._check()
+        if self.world.loop.process.dead:
+            raise Closed("the process is dead")
+        part = bytes(data[: max(0, WINDOW - self.other.held)])
+        if not part:
+            return 0
+        self.sent += len(part)
+        self.other.held += len(part)
+        if not self.local and self.world.random.random() < self.world.faults.reset_chance:
+            self.other._deliver(self.other._fail, None)
+            self._deliver(self._fail, None)
+        else:
+            self.other._deliver(self.other._arrive, part)
+        return len(part)
+
     def end(self) -> None:
-        if not self.closed and not self.finished:
+        if not self.closed and not self.finished and not self.world.loop.process.dead:
             self.finished = True
             self.other._deliver(self.other._end, None)
 
     def close(self) -> None:
-        if not self.closed:
+        """What a dead process's tasks still do as they end changes nothing: it was killed where it stood."""
+        if not self.closed and not self.world.loop.process.dead:
             self.end()
             self._leave()
 
     def abort(self) -> None:
-        if not self.closed:
+        if not self.closed and not self.world.loop.process.dead:
             self._leave()
             self.other._deliver(self.other._fail, None)
 
+    # -- between processes of one machine
+
+    def send_with(self, data: bytes, handle: _Handle, deadline: int | None = None) -> None:
+        self._check()
+        self.other._deliver(self.other._arrive_handle, handle)
+        self.send(data, deadline)
+
+    def _arrive_handle(self, handle: _Handle) -> None:
+        if self.closed:
+            self.world.drop(handle)
+        else:
+            self.handles.append(handle if not self.world.no_descriptors else None)
+            if self.world.no_descriptors:
+                self.world.drop(handle)
+
+    def take_handle(self) -> _Handle | None:
+        return self.handles.popleft() if self.handles else None
+
+    def kill_peer(self) -> None:
+        self.world.kill(self.other.process)
+
+    def release(self) -> None:
+        if self.world.loop.process.dead:
+            return
+        self.world.streams.get(self.world.loop.process, {}).pop(self, None)
+        self._wake_reader()
+        self._wake_writer()
+        self.lose(self.world.loop.process)
+
+    def _end_hold(self) -> None:
+        if self.local:
+            self.close()  # what was handed over is still read
+        else:
+            self.abort()
+
     def _leave(self) -> None:
         self.closed = True
+        for handle in filter(None, self.handles):
+            self.world.drop(handle)
+        self.handles.clear()
         self.inbox.clear()
         self.world.streams.get(self.process, {}).pop(self, None)
         self._wake_reader()
         self._wake_writer()
 
 
-class SimListener:
+class SimListener(_Held):
     """A bound address with its queue of connections not yet taken."""
 
     def __init__(self, world: SimWorld, address: Address, backlog: int) -> None:
         self.world = world
         self.address = address
         self.backlog = backlog
-        self.process = world.loop.process
+        self.holders = {world.loop.process: None}
         self.queue: deque[SimStream] = deque()
-        self.task: Task | None = None
+        self.tasks: list[Task] = []
         self.closed = False
 
+    @property
+    def process(self) -> Process:
+        """One of the processes that hold it: all are on one machine."""
+        return next((one for one in self.holders if isinstance(one, Process)), self.world.loop.home)
+
     def full(self) -> bool:
         """Whether the queue takes no more."""
         return len(self.queue) >= self.backlog
@@ -319,59 +437,86 @@
     def arrive(self, stream: SimStream) -> None:
         """A connection was made."""
         self.queue.append(stream)
-        task, self.task = self.task, None
-        if task is not None:
-            self.world.loop.wake(task)
+        if self.tasks:
+            self.world.loop.wake(self.tasks.pop(0))
 
     def accept(self, deadline: int | None = None) -> SimStream:
-        self.world.loop.breathe()
-        while not self.queue:
-            if self.closed:
+        loop = self.world.loop
+        loop.breathe()
+        while True:
+            if self.closed or loop.process not in self.holders:
                 raise Closed("closed on our side")
-            self.task = self.world.loop.current
+            if self.queue:
+                break
+            task = loop.current
+            assert task is not None
+            self.tasks.append(task)
             try:
-                self.world.loop.park(deadline)
+                loop.park(deadline)
             finally:
-                self.task = None
-        return self.queue.popleft()
+                if task in self.tasks:
+                    self.tasks.remove(task)
+        stream = self.queue.popleft()
+        stream.holders, before = {loop.process: None}, stream.process
+        self.world.streams.get(before, {}).pop(stream, None)
+        stream.process = loop.process
+        self.world.streams.setdefault(loop.process, {})[stream] = None
+        return stream
 
     def close(self) -> None:
+        self.lose(self.world.loop.process)
+        for task in [one for one in self.tasks if one.process not in self.holders]:
+            self.world.loop.wake(task)
+
+    def _end_hold(self) -> None:
         if self.closed:
             return
         self.closed = True
         self.world.listeners.pop(self.address, None)
         while self.queue:
             self.queue.popleft().abort()
-        task, self.task = self.task, None
-        if task is not None:
+        for task in self.tasks:
             self.world.loop.wake(task)
 
 
-class SimDatagrams:
+class SimDatagrams(_Held):
     """A bound address for datagrams."""
 
     def __init__(self, world: SimWorld, address: Address) -> None:
         self.world = world
         self.address = address
-        self.process = world.loop.process
+        self.holders = {world.loop.process: None}
         self.inbox: deque[tuple[bytes, Address]] = deque()
-        self.task: Task | None = None
+        self.tasks: list[Task] = []
         self.closed = False
 
+    @property
+    def process(self) -> Process:
+        """One of the processes that hold it: all are on one machine."""
+        return next((one for one in self.holders if isinstance(one, Process)), self.world.loop.home)
+
     def recv(self, deadline: int | None = None) -> tuple[bytes, Address]:
-        while not self.inbox:
-            if self.closed:
+        loop = self.world.loop
+        while True:
+            if self.closed or loop.process not in self.holders:
                 raise Closed("closed on our side")
-            self.task = self.world.loop.current
+            if self.inbox:
+                break
+            task = loop.current
+            assert task is not None
+            self.tasks.append(task)
             try:
-                self.world.loop.park(deadline)
+                loop.park(deadline)
             finally:
-                self.task = None
-        self.world.loop.breathe()
+                if task in self.tasks:
+                    self.tasks.remove(task)
+        loop.breathe()
         return self.inbox.popleft()
 
     def send(self, data: bytes, to: Address) -> None:
         world = self.world
+        if world.loop.process.dead:
+            return
         copies = 1 + (world.random.random() < world.faults.datagram_double)
         for _ in range(copies):
             if world.random.random() >= world.faults.datagram_loss:
@@ -385,14 +530,17 @@
             return
         if len(target.inbox) < DATAGRAMS_HELD:
             target.inbox.append((data, self.address))
-            task, target.task = target.task, None
-            if task is not None:
-                self.world.loop.wake(task)
+            if target.tasks:
+                self.world.loop.wake(target.tasks.pop(0))
 
     def close(self) -> None:
+        self.lose(self.world.loop.process)
+        for task in [one for one in self.tasks if one.process not in self.holders]:
+            self.world.loop.wake(task)
+
+    def _end_hold(self) -> None:
         if not self.closed:
             self.closed = True
             self.world.sockets.pop(self.address, None)
-            task, self.task = self.task, None
-            if task is not None:
+            for task in self.tasks:
                 self.world.loop.wake(task)
--- a/orchidlane/loop/world.py
+++ b/orchidlane/loop/world.py
@@ -9,7 +9,8 @@
 if TYPE_CHECKING:
     from .scheduler import Loop, Task
 
-Address = tuple[str, int]  # host, port
+Address = tuple[str, int]  # host, port; a host that begins with "/" is the path of a Unix socket
+Handle = Any  # a socket on its way to another process: only a world knows what is in it
 
 
 class Stream(Protocol):
@@ -31,6 +32,9 @@
     def send(self, data: bytes, deadline: int | None = None) -> None:
         """Hand all bytes over; waits while the other side does not take them. Raises Closed, Expired."""
 
+    def try_send(self, data: bytes) -> int:
+        """Hand over what is taken without waiting; how many bytes. Raises Closed."""
+
     def end(self) -> None:
         """Send no more; reading goes on."""
 
@@ -40,6 +44,25 @@
     def abort(self) -> None:
         """Reset the connection."""
 
+    def share(self) -> Handle:
+        """A second hold on the connection, to be sent to another process or kept."""
+
+    def release(self) -> None:
+        """Let our hold go and nothing else: whoever else holds the connection goes on with it."""
+
+    # -- between processes of one machine, over a Unix socket
+
+    def send_with(self, data: bytes, handle: Handle, deadline: int | None = None) -> None:
+        """The same as ``send`` with one handle along with the first byte; it is used up. Raises Closed,
+        Expired.
+        """
+
+    def take_handle(self) -> Handle | None:
+        """The next handle that came, in the order they were sent; None where none did, or it was lost."""
+
+    def kill_peer(self) -> None:
+        """End the process on the other side where it stands; our next read tells when it is gone."""
+
 
 class Listener(Protocol):
     """A bound address that takes connections."""
@@ -49,8 +72,11 @@
     def accept(self, deadline: int | None = None) -> Stream:
         """The next connection. Raises Closed, Expired, and NotConnected out of descriptors."""
 
+    def share(self) -> Handle:
+        """A second hold on the address and those who wait there."""
+
     def close(self) -> None:
-        """Take no more; those waiting are reset."""
+        """Take no more; those waiting are reset, unless another process holds the address too."""
 
 
 class Datagrams(Protocol):
@@ -64,6 +90,9 @@
     def send(self, data: bytes, to: Address) -> None:
         """Send one datagram, perhaps in vain."""
 
+    def share(self) -> Handle:
+        """A second hold on the address and what waits there."""
+
     def close(self) -> None:
         """Give the address up."""
 
@@ -91,6 +120,24 @@
     def datagrams(self, at: Address) -> Datagrams:
         """Take datagrams at an address; port 0 picks a free one."""
 
+    def adopt_stream(self, handle: Handle) -> Stream:
+        """The connection of a handle, as ours."""
+
+    def adopt_listener(self, handle: Handle) -> Listener:
+        """The listener of a handle, as ours."""
+
+    def adopt_datagrams(self, handle: Handle) -> Datagrams:
+        """The datagrams' address of a handle, as ours."""
+
+    def drop(self, handle: Handle) -> None:
+        """Let a handle go that nobody adopts."""
+
+    def clock_base(self) -> int:
+        """What a process of the same machine needs to go on with this clock."""
+
+    def follow_clock(self, base: int) -> None:
+        """Go on with the clock of the process that this one follows."""
+
     def aside(self, work: Callable[[], Any]) -> Any:
         """Run long work that does no I/O of the loop's beside it, and wait for its value or exception."""
 
@@ -109,4 +156,4 @@
 
 def show(address: Any) -> str:
     """An address as text."""
-    return f"{address[0]}:{address[1]}"
+    return address[0] if address[0].startswith("/") else f"{address[0]}:{address[1]}"
--- a/orchidlane/record/codec.py
+++ b/orchidlane/record/codec.py
@@ -25,6 +25,7 @@
     8: api.ProbeEnded,
     9: api.PeerMessage,
     10: api.CounterAnswered,
+    11: api.Counted,
 }
 ACTIONS: dict[int, type] = {
     1: api.Send,
--- a/orchidlane/record/segments.py
+++ b/orchidlane/record/segments.py
@@ -72,7 +72,7 @@
 
 
 class Broken(Exception):
-    """A segment that ends before its end; ``place`` is where, in bytes, ``cut`` whether the file ends there."""
+    """A segment that ends early; ``place`` is where, in bytes, ``cut`` whether the file ends there."""
 
     def __init__(self, file: str, place: int, why: str, cut: bool) -> None:
         super().__init__(f"{file}: byte {place}: {why}")
--- a/orchidlane/record/snapshot.py
+++ b/orchidlane/record/snapshot.py
@@ -13,7 +13,7 @@
 from __future__ import annotations
 
 from collections.abc import Iterator
-from typing import Any
+from typing import Any, Protocol
 
 from ..rules import Gateway
 from ..state import Account
@@ -22,18 +22,36 @@
 PAGE = 256  # accounts of one page: about 2 ms of the loop
 
 
+class Watcher(Protocol):
+    """Is told of each account before the module reaches for it."""
+
+    def save(self, customer: int) -> None:
+        """The account of this customer may be changed, made or dropped next."""
+
+
 class Accounts(dict[int, Account]):
-    """A module's accounts by customer, with the snapshots that are being taken of them."""
+    """A module's accounts by customer, with those who watch what is done with them."""
 
-    snapshots: tuple[Snapshot, ...] = ()
+    watchers: tuple[Watcher, ...] = ()
 
+    def watch(self, watcher: Watcher) -> None:
+        """Tell a watcher of each account before it is reached for."""
+        self.watchers = (*self.watchers, watcher)
+        self.__class__ = _Watched
 
-class _CopiedFirst(Accounts):
-    """The same dictionary while snapshots are taken: whoever reaches for an account may change it."""
+    def unwatch(self, watcher: Watcher) -> None:
+        """Tell it no more."""
+        self.watchers = tuple(one for one in self.watchers if one is not watcher)
+        if not self.watchers:
+            self.__class__ = Accounts
+
+
+class _Watched(Accounts):
+    """The same dictionary while somebody watches: whoever reaches for an account may change it."""
 
     def _save(self, customer: int) -> None:
-        for snapshot in self.snapshots:
-            snapshot.save(customer)
+        for watcher in self.watchers:
+            watcher.save(customer)
 
     def __getitem__(self, customer: int) -> Account:
         self._save(customer)
@@ -43,6 +61,10 @@
         self._save(customer)
         return super().get(customer, default)
 
+    def __setitem__(self, customer: int, account: Account) -> None:
+        self._save(customer)
+        super().__setitem__(customer, account)
+
     def __delitem__(self, customer: int) -> None:
         self._save(customer)
         super().__delitem__(customer)
@@ -76,8 +98,7 @@
         for account in under_way:
             if account is not None:
                 self.save(account.customer)
-        self._accounts.snapshots = (*self._accounts.snapshots, self)
-        self._accounts.__class__ = _CopiedFirst
+        self._accounts.watch(self)
 
     def save(self, customer: int) -> None:
         """The module is about to reach for an account: copy it, unless its page came."""
@@ -108,7 +129,4 @@
     def close(self) -> None:
         """No more pages are wanted: the module pays nothing for this snapshot from here on."""
         self._order, self._left, self._early = [], set(), []
-        accounts = self._accounts
-        accounts.snapshots = tuple(one for one in accounts.snapshots if one is not self)
-        if not accounts.snapshots:
-            accounts.__class__ = Accounts
+        self._accounts.unwatch(self)
--- a/orchidlane/resp/codec.py
+++ b/orchidlane/resp/codec.py
@@ -49,6 +49,10 @@
         self.items: list[Value] = []
 
 
+def _is_bulk(value: Any) -> bool:
+    return isinstance(value, bytes)
+
+
 class Decoder:
     """Bytes in, values out."""
 
@@ -66,6 +70,19 @@
         """Bytes of values that are not complete."""
         return len(self._buffer) - self._at + len(self._stack)
 
+    def unread(self) -> bytes | None:
+        """The bytes of commands that are not complete, for another decoder; None where they are no command's."""
+        out = bytearray()
+        for opened in self._stack:
+            if opened.kind != 42 or len(self._stack) > 1 or not all(map(_is_bulk, opened.items)):
+                return None
+            out += b"*%d\r\n" % (len(opened.items) + opened.left)
+            for item in opened.items:
+                out += b"$%d\r\n%s\r\n" % (len(item), item)
+        if self._bulk is not None:
+            out += b"%c%d\r\n" % self._bulk
+        return bytes(out + self._buffer[self._at :])
+
     def receive(self, data: bytes) -> None:
         """Feed bytes."""
         if self._at > 65_536 or self._at == len(self._buffer):
--- a/orchidlane/rules.py
+++ b/orchidlane/rules.py
@@ -305,6 +305,12 @@
             self.changed[account.customer] = None
             self._tell_keeper(account, 0)
 
+    def _counted(self, event: api.Counted) -> None:
+        """Guards against what was sent on twice in an upgrade or a restart: our own count, too, only grows."""
+        account = self._account(event.customer, event.plan, event.set_first, event.set_size, trusted=False)
+        self._lift(account)
+        account.total += self._count(account, self.rank, event.start, event.value)
+
     def _count(self, account: Account, rank: int, start: int, value: float) -> float:
         """Newer start, then larger value; what was spent in an earlier life stays spent. The growth."""
         known = account.counts.get(rank, (-1, 0.0))
--- /dev/null
+++ b/tests/test_upgrade_model.py
@@ -0,0 +1,289 @@
+"""The two machines of an upgrade and the channel between them, searched whole: crashes, hangs, nonsense
+anywhere.
+
+Invariants: at most one of the two serves; who is alive and was never told to end leads to one that serves;
+units are decided on by at most one; and one side broken on purpose is found.
+"""
+
+from __future__ import annotations
+
+import copy
+from collections.abc import Iterable
+from typing import Any
+
+import pytest
+from test_day import quiet  # noqa: F401
+
+from orchidlane.lab.explore import explore
+from orchidlane.upgrade import giver, taker
+from orchidlane.upgrade.health import Answers
+from orchidlane.upgrade.messages import FORMAT, Hello
+
+LAYOUT = giver.Layout("gw", 0, 3, ("p",))
+HELLO = Hello(FORMAT, "b", "gw", 0, 3, ("p",))
+LATE = 10**12  # a clock at which every deadline is over
+WELL, SICK = Answers(50, 1, 0), Answers(0, 50, 0)
+
+
+class World:
+    """Both processes and the two ways of their channel."""
+
+    def __init__(self, faults: int = 2) -> None:
+        self.giver = giver.Giver(LAYOUT)
+        self.taker = taker.Taker()
+        self.to_taker: tuple[str, ...] = ()
+        self.to_giver: tuple[str, ...] = ()
+        self.alive = [True, True]
+        self.hung = [False, False]
+        self.closed = [False, False]  # whose end of the channel
+        self.told = [False, False]  # that the other's end is closed
+        self.serves = [True, False]
+        self.waits = [False, False]  # for a tick
+        self.checking = False
+        self.stopped = False
+        self.faults = faults
+
+    def key(self):
+        g, t = self.giver, self.taker
+        return (
+            g.phase,
+            g.channel,
+            bool(g.trial_ends),
+            t.phase,
+            self.to_taker,
+            self.to_giver,
+            *self.alive,
+            *self.hung,
+            *self.closed,
+            *self.told,
+            *self.serves,
+            *self.waits,
+            self.checking,
+            self.stopped,
+            self.faults,
+        )
+
+    def wrong(self) -> str | None:
+        if all(self.serves):
+            return "both serve"
+        return None
+
+    def good(self) -> bool:
+        """One serves and has nothing more to do with the other; or both were ended."""
+        alone = self.giver.phase is giver.Phase.SERVING and self.serves[0]
+        free = self.taker.phase is taker.Phase.FREE and self.serves[1]
+        return alone or free or not any(self.alive)
+
+    def moves(self) -> Iterable[tuple[str, World]]:
+        for name, change in (*self._steps(), *self._mishaps()):
+            after = copy.copy(self)
+            after.giver, after.taker = copy.copy(self.giver), copy.copy(self.taker)
+            for list_ in ("alive", "hung", "closed", "told", "serves", "waits"):
+                setattr(after, list_, list(getattr(self, list_)))
+            change(after)
+            yield name, after
+
+    def _runs(self, side: int) -> bool:
+        return self.alive[side] and not self.hung[side]
+
+    def _steps(self):
+        if self._runs(0):
+            if self.to_giver:
+                yield f"giver hears {self.to_giver[0]}", World.giver_hears
+            elif self.closed[1] and not self.told[0] and not self.closed[0]:
+                yield "giver hears the end", lambda w: w.end_heard(0)
+            if self.waits[0]:
+                yield "giver's time is up", lambda w: w.give(LATE, giver.Ticked())
+            if self.giver.phase is giver.Phase.PARTING:
+                yield "giver is drained", lambda w: w.give(0, giver.Drained())
+        if self._runs(1):
+            if self.to_taker:
+                yield f"taker hears {self.to_taker[0]}", World.taker_hears
+            elif self.closed[0] and not self.told[1] and not self.closed[1]:
+                yield "taker hears the end", lambda w: w.end_heard(1)
+            if self.waits[1]:
+                yield "taker's time is up", lambda w: w.take(LATE, taker.Ticked())
+            if self.checking:
+                yield "taker is fit", lambda w: w.checked(taker.WasFit())
+                yield "taker is unfit", lambda w: w.checked(taker.WasUnfit("no"))
+            if self.taker.phase is taker.Phase.RETURNING:
+                yield "taker is drained", lambda w: w.take(0, taker.Drained())
+            if self.taker.phase is taker.Phase.TRIAL and len(self.to_giver) < 3:
+                yield "taker fares badly", lambda w: w.say(1, "sick")
+
+    def _mishaps(self):
+        for side, name in enumerate(("giver", "taker")):
+            if self.hung[side] and self.alive[side]:
+                yield f"{name} wakes", lambda w, s=side: w.hung.__setitem__(s, False)
+        if not self.faults:
+            return
+        for side, name in enumerate(("giver", "taker")):
+            if self.alive[side]:
+                yield f"!{name} is killed", lambda w, s=side: w.fault(lambda: w.die(s))
+                if not self.hung[side]:
+                    yield f"!{name} hangs", lambda w, s=side: w.fault(lambda: w.hung.__setitem__(s, True))
+            if self._runs(side) and not self.closed[side]:
+                yield f"!{name} talks nonsense", lambda w, s=side: w.fault(lambda: w.say(s, "nonsense"))
+        if self._runs(0) and not self.stopped:
+            yield "!giver is asked to end", lambda w: w.fault(lambda: w.give(0, giver.Stopped()))
+        if self._runs(1) and not self.stopped:
+            yield "!taker is asked to end", lambda w: w.fault(lambda: w.take(0, taker.Stopped()))
+
+    # -- what happens
+
+    def fault(self, change) -> None:
+        self.faults -= 1
+        change()
+
+    def say(self, side: int, word: str) -> None:
+        if self.closed[side]:
+            return
+        if side:
+            self.to_giver = (*self.to_giver, word)
+        else:
+            self.to_taker = (*self.to_taker, word)
+
+    def die(self, side: int) -> None:
+        self.alive[side] = self.serves[side] = False
+        self.closed[side] = True
+        self.checking = self.checking and side == 0
+
+    def end_heard(self, side: int) -> None:
+        self.told[side] = True
+        if side:
+            self.take(0, taker.Lost())
+        else:
+            self.give(0, giver.Lost(1))
+
+    def giver_hears(self) -> None:
+        word, self.to_giver = self.to_giver[0], self.to_giver[1:]
+        told: dict[str, Any] = {
+            "hello": giver.Called(1, HELLO),
+            "warm": giver.WasWarm(1),
+            "started": giver.HasStarted(1),
+            "pulse": giver.Pulsed(1, WELL, WELL),
+            "sick": giver.Pulsed(1, SICK, WELL),
+            "unfit": giver.WasUnfit(1, "no"),
+            "nonsense": giver.WasUnfit(1, "garbage"),
+            "returned": giver.WasReturned(1),
+        }
+        self.give(LATE if word == "pulse" else 0, told[word])
+
+    def taker_hears(self) -> None:
+        word, self.to_taker = self.to_taker[0], self.to_taker[1:]
+        told: dict[str, Any] = {
+            "offer": taker.Offered(),
+            "whole": taker.CameWhole(),
+            "final": taker.CameFinal(),
+            "recall": taker.Recalled("sick"),
+            "release": taker.Released(),
+            "abort": taker.Aborted("no"),
+            "nonsense": taker.WasUnfit("garbage"),
+        }
+        self.take(0, told[word])
+
+    def give(self, now: int, event) -> None:
+        self.waits[0] = False if isinstance(event, giver.Ticked) else self.waits[0]
+        for action in self.giver.handle(now, event):
+            match action:
+                case giver.MakeOffer():
+                    self.say(0, "offer")
+                    self.say(0, "whole")
+                case giver.TurnAway():
+                    self.say(0, "abort")
+                    self.closed[0] = True
+                case giver.Commit():
+                    self.serves[0] = False
+                    self.say(0, "final")
+                case giver.AskBack():
+                    self.say(0, "recall")
+                case giver.Kill():
+                    self.die(1)
+                case giver.TakeBack():
+                    self.serves[0] = True
+                case giver.Settle():
+                    self.closed[0] = True
+                case giver.LetGo():
+                    self.say(0, "release")
+                case giver.End():
+                    self.die(0)
+                case giver.Wake():
+                    self.waits[0] = True
+
+    def checked(self, event) -> None:
+        self.checking = False
+        self.take(0, event)
+
+    def take(self, now: int, event) -> None:
+        self.waits[1] = False if isinstance(event, taker.Ticked) else self.waits[1]
+        self.carry_out(self.taker.handle(now, event))
+
+    def carry_out(self, actions) -> None:
+        for action in actions:
+            match action:
+                case taker.SayHello():
+                    self.say(1, "hello")
+                case taker.Check():
+                    self.checking = True
+                case taker.SayWarm():
+                    self.say(1, "warm")
+                case taker.Serve():
+                    self.serves[1] = True
+                    self.say(1, "started")
+                case taker.SayPulse():
+                    if len(self.to_giver) < 3:
+                        self.say(1, "pulse")
+                case taker.StandAlone():
+                    if self.alive[0]:
+                        self.die(0)
+                    self.serves[1] = True
+                case taker.StopServing():
+                    self.serves[1] = False
+                    self.say(1, "returned")
+                case taker.Exit():
+                    self.say(1, "unfit")
+                    self.die(1)
+                case taker.Wake():
+                    self.waits[1] = True
+
+
+def model(faults: int = 2) -> World:
+    world = World(faults)
+    world.carry_out(world.taker.start(0))
+    return world
+
+
+def test_never_both_serve_and_one_always_can():
+    found = explore(model())
+    assert found.wrong == []
+    assert found.stuck == []
+    assert found.states > 3_000
+
+
+@pytest.mark.parametrize(
+    "phase, event, instead",
+    [
+        # takes back as soon as the successor is silent, without making sure
+        (giver.Phase.COMMITTED, giver.Ticked, lambda g, now, e: g.actions.append(giver.TakeBack("silent"))),
+        # takes back on a sick successor's word alone
+        (giver.Phase.COMMITTED, giver.WasUnfit, lambda g, now, e: g.actions.append(giver.TakeBack("unfit"))),
+    ],
+)
+def test_a_giver_that_does_not_fence_is_found(monkeypatch, phase, event, instead):
+    monkeypatch.setitem(giver.TABLE, (phase, event), instead)
+    assert explore(model()).wrong[0][0] == "both serve"
+
+
+def test_a_giver_that_forgets_a_dead_successor_is_found(monkeypatch):
+    monkeypatch.delitem(giver.TABLE, (giver.Phase.FENCING, giver.Lost))
+    assert explore(model()).stuck
+
+
+def test_a_taker_that_goes_on_after_a_recall_is_found(monkeypatch):
+    monkeypatch.setitem(
+        taker.TABLE, (taker.Phase.TRIAL, taker.Recalled), lambda t, now, e: t.actions.append(taker.SayPulse())
+    )
+    found = explore(model())
+    assert (found.stuck, found.wrong) == ([], [])  # it is killed after a while
+    monkeypatch.delitem(giver.TABLE, (giver.Phase.RECALLING, giver.Ticked))
+    assert explore(model()).stuck
