Upgrade: hard cases as tests, begun; a Unix socket of the simulated world is read to its end

Need: what a process said before it ended got lost in the simulated world, so that the other side did not hear why. Change: over a Unix socket what came before a reset is still read; a dead process kills nobody.

--- a/orchidlane/gateway/handover.py
+++ b/orchidlane/gateway/handover.py
@@ -655,7 +655,7 @@
         while self.machine.phase not in (taker.Phase.TRIAL, taker.Phase.FREE, taker.Phase.ENDED):
             self.loop.park()
         self._waiting = None
-        return self.machine.phase is not taker.Phase.ENDED
+        return not self.ended_because
 
     def _serve(self) -> None:
         try:
@@ -879,7 +879,7 @@
         self._quiet = False
         if cold:
             if not self._built or "http" not in self.places:
-                self.program.stopping = True
+                self.ended_because = "the old side ended before it had passed its listeners"
                 return
             program.incarnation = self.loop.now()  # a new life: what was said in the old one is not known
             program.adopt_places(self.places)
--- a/orchidlane/loop/simulated.py
+++ b/orchidlane/loop/simulated.py
@@ -272,7 +272,8 @@
     def _fail(self, _: Any) -> None:
         if not self.closed and not self.reset:
             self.reset = True
-            self.inbox.clear()
+            if not self.local:  # over a Unix socket what came before is still read
+                self.inbox.clear()
             self._wake_reader()
             self._wake_writer()
 
@@ -293,7 +294,8 @@
             raise Closed("reset by the other side")
 
     def try_recv(self, most: int = 65536) -> bytes | None:
-        self._check()
+        if self.closed or not (self.local and self.inbox):
+            self._check()
         if not self.inbox:
             return b"" if self.ended else None
         data = self.inbox.popleft()
@@ -386,7 +388,8 @@
         return self.handles.popleft() if self.handles else None
 
     def kill_peer(self) -> None:
-        self.world.kill(self.other.process)
+        if not self.world.loop.process.dead:
+            self.world.kill(self.other.process)
 
     def release(self) -> None:
         if self.world.loop.process.dead:
--- a/orchidlane/resp/codec.py
+++ b/orchidlane/resp/codec.py
@@ -71,7 +71,7 @@
         return len(self._buffer) - self._at + len(self._stack)
 
     def unread(self) -> bytes | None:
-        """The bytes of commands that are not complete, for another decoder; None where they are no command's."""
+        """The bytes of commands that are not complete, for another decoder; None where they are none's."""
         out = bytearray()
         for opened in self._stack:
             if opened.kind != 42 or len(self._stack) > 1 or not all(map(_is_bulk, opened.items)):
--- a/orchidlane/rules.py
+++ b/orchidlane/rules.py
@@ -306,7 +306,7 @@
             self._tell_keeper(account, 0)
 
     def _counted(self, event: api.Counted) -> None:
-        """Guards against what was sent on twice in an upgrade or a restart: our own count, too, only grows."""
+        """Guards against units lost in an upgrade or a restart: our own count, too, only grows."""
         account = self._account(event.customer, event.plan, event.set_first, event.set_size, trusted=False)
         self._lift(account)
         account.total += self._count(account, self.rank, event.start, event.value)
--- a/orchidlane/upgrade/giver.py
+++ b/orchidlane/upgrade/giver.py
@@ -148,7 +148,7 @@
 
 
 class Settle(NamedTuple):
-    """The other process is gone: close the channel; clients whose answer it owed are answered that it failed."""
+    """The other process is gone: close the channel; clients that it owed an answer get one that says so."""
 
     channel: int
 
--- a/orchidlane/upgrade/messages.py
+++ b/orchidlane/upgrade/messages.py
@@ -102,7 +102,7 @@
 
 
 class Idle(Message, frozen=True, tag=11):
-    """The connection waits for its next request; ``back``: it is not ours any more, with what was read of it."""
+    """The connection waits for its next request; ``back``: it is yours, with what was read of that."""
 
     connection: int
     back: bool = False
--- a/orchidlane/upgrade/taker.py
+++ b/orchidlane/upgrade/taker.py
@@ -125,7 +125,7 @@
 
 
 class StopServing(NamedTuple):
-    """Take no more requests, give the idle clients back, and say so; the others follow as they become idle."""
+    """Take no more requests, give idle clients back, and say so; the others follow as they become idle."""
 
 
 class BeFree(NamedTuple):
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -11,7 +11,7 @@
 import pytest
 import structlog
 from conftest import SECOND
-from house import GENERATION, GET, MS, OK, REPORT, House
+from house import GENERATION, GET, MS, OK, REPORT, SETTINGS, House, good, request
 from test_day import quiet  # noqa: F401
 
 from orchidlane import http1
@@ -19,16 +19,19 @@
 from orchidlane.gateway import handover
 from orchidlane.gateway.knowledge import Knowledge
 from orchidlane.gateway.program import Program
+from orchidlane.gateway.settings import parse_fleet
 from orchidlane.loop import LoopError
-from orchidlane.upgrade import giver, taker
-
-NOBODY = (0,)  # what a client notes that got no answer
+from orchidlane.rules import Gateway
+from orchidlane.upgrade import giver, messages, taker
 
 
 class Upgraded(House):
     """A house whose gateway can be upgraded; ``programs`` are all processes of it, the latest at the end."""
 
-    def __init__(self, *handlers, trial: int = SECOND, **changes) -> None:
+    def __init__(self, *handlers, trial: int = SECOND, upgrade_alone: bool = False, **changes) -> None:
+        if upgrade_alone:  # one gateway in its fleet: tokens have no other holders
+            first = parse_fleet(SETTINGS, "fleet.cue").gateways[:1]
+            changes["gateways"] = first
         upgrade = {
             "trial": Duration(trial),
             "silence": Duration(600 * MS),
@@ -261,3 +264,345 @@
 
     house = Upgraded(slow, slow, slow, slow)
     house.run(test)
+
+
+POINTS = (*range(1, 25), 34, 60, 120)
+
+
+@pytest.mark.parametrize("side", ["old", "new"])
+def test_a_kill_of_either_side_at_any_message_leaves_one_that_serves(monkeypatch, side):
+    """The n-th message of the channel is the last thing that one of the two lives to see."""
+    send = handover.Channel.send
+
+    def run(point: int) -> tuple[str, int]:
+        sent, ends = [0], []
+
+        def counting(self, message, handle=None) -> None:
+            send(self, message, handle)
+            sent[0] += 1
+            if sent[0] == point:
+                ends.append(type(message).__name__)
+                victim = house.processes[0 if side == "old" else -1]
+                house.world.kill(victim)
+                if house.loop.process is victim and house.loop.current is not None:
+                    house.loop.park()  # no line of it runs after that
+
+        monkeypatch.setattr(handover.Channel, "send", counting)
+        house = Upgraded(slow, slow, slow, slow, trial=400 * MS)
+
+        def test(house: Upgraded) -> None:
+            house.load(2 * SECOND)
+            house.loop.sleep(200 * MS)
+            house.upgrade()
+            house.until(lambda: not house.loading, 120 * SECOND)
+            house.loop.sleep(2 * SECOND)
+            serving = house.serving()
+            if side == "old" and not serving:
+                # it died before it had passed its listeners: there is nothing to stand alone with
+                assert house.programs[1].failed
+                assert not house.processes[1].tasks
+                return
+            (program,) = serving
+            assert house.ask(GET)[0] == 200
+            assert house.statuses[0] <= (6 if side == "old" else 0), (point, ends, house.statuses)
+            assert house.statuses[502] <= 3
+            moment = program is not house.programs[0] and program.taking.machine.phase is taker.Phase.FREE
+            if side == "new" or (moment and program.incarnation == house.programs[0].incarnation):
+                assert counted(program) == sent_on(house), (point, ends)
+
+        house.run(test)
+        return ends[0] if ends else "none", house.statuses[200]
+
+    seen = [run(point) for point in POINTS]
+    names = {name for name, _ in seen}
+    assert {"Hello", "Offer", "Place", "Rows", "Whole", "Warm", "Final", "Connection", "Opened"} <= names, (
+        names
+    )
+    assert len(names) > 12
+
+
+# The hard cases
+
+
+def test_a_second_upgrade_is_turned_away_while_one_is_under_way():
+    def test(house: Upgraded) -> None:
+        house.load(3 * SECOND)
+        house.upgrade()
+        house.upgrade()
+        program = settle(house)
+        assert set(house.statuses) == {200}
+        first, second = sorted(house.programs[1:], key=lambda one: bool(one.failed))
+        assert "another upgrade is under way" in second.failed
+        assert program is first
+
+    Upgraded(slow, slow, slow, slow).run(test)
+
+
+def test_a_request_under_way_of_any_kind_gets_its_one_answer():
+    """Half a body, half a head, an unsafe attempt that is out, a pipeline: at the moment itself."""
+
+    def late(house: House, index: int, stream) -> None:
+        while True:
+            house.read_request(index, stream)
+            house.loop.sleep(700 * MS)
+            stream.send(OK)
+
+    def test(house: Upgraded) -> None:
+        body = request("PUT", "/v1/tests/1", "Idempotency-Key: k\r\n", b"0123456789")
+        clients = {
+            "half a body": (body[:-5], body[-5:]),
+            "half a head": (GET[:20], GET[20:]),
+            "an unsafe attempt": (REPORT, b""),
+            "a pipeline": (GET + GET + GET[:30], GET[30:]),
+            "nothing yet": (b"", GET),
+        }
+        streams = {}
+        for name, (first, _) in clients.items():
+            streams[name] = house.connect()
+            if first:
+                streams[name].send(first)
+        house.loop.sleep(50 * MS)
+        house.upgrade()
+        house.until(lambda: len(house.programs) == 2 and house.programs[1] in house.serving())
+        for name, (_, rest) in clients.items():
+            if rest:
+                streams[name].send(rest)
+        for name, stream in streams.items():
+            parser = http1.ResponseParser()
+            for _ in range(3 if name == "a pipeline" else 1):
+                assert house.answer(stream, parser=parser)[0] == 200, name
+                parser.next_message()
+        house.until(lambda: not house.processes[0].tasks)
+        house.loop.sleep(2 * SECOND)
+        for name, stream in streams.items():  # all of them go on with the new process
+            stream.send(GET)
+            assert house.answer(stream)[0] == 200, name
+        seen = Counter(line.split(b" ")[0] for _, line in house.seen)
+        assert (seen[b"PUT"], seen[b"POST"]) == (1, 1)
+        assert counted(house.programs[1]) == 3 + 2 + 4 + 5
+
+    Upgraded(late, late).run(test)
+
+
+def test_a_request_held_without_a_node_is_counted_by_the_successor():
+    def test(house: Upgraded) -> None:
+        assert house.ask(GET)[0] == 200
+        house.set_phase(0, "gone")
+        house.loop.sleep(50 * MS)
+        stream = house.connect()
+        stream.send(GET)
+        house.loop.sleep(50 * MS)
+        house.upgrade()
+        house.until(lambda: len(house.programs) == 2 and house.programs[1] in house.serving())
+        house.set_phase(0, "ready")
+        assert house.answer(stream)[0] == 200
+        assert counted(house.programs[1]) == sent_on(house) == 2
+
+    Upgraded(good).run(test)
+
+
+def resp_command(*words: bytes) -> bytes:
+    return b"*%d\r\n" % len(words) + b"".join(b"$%d\r\n%s\r\n" % (len(word), word) for word in words)
+
+
+def test_resp_sessions_pass_with_their_tokens_grants_and_half_read_commands():
+    def test(house: Upgraded) -> None:
+        def connect():
+            return house.world.connect(("127.0.0.1", 8380))
+
+        def read(stream, size: int) -> bytes:
+            data = b""
+            while len(data) < size:
+                data += stream.recv(deadline=house.loop.now() + 3 * SECOND)
+            return data
+
+        stream, idle = connect(), connect()
+        house.loop.sleep(4 * SECOND)  # tokens are sure after their life
+        take = resp_command(b"LIMIT.TAKE", b"a-key", b"5", b"IDEMPOTENT", b"t1")
+        stream.send(take)
+        first = read(stream, 4)
+        assert first.startswith(b"*3\r\n:1\r\n")
+        stream.recv()
+        idle.send(resp_command(b"CLIENT", b"SETNAME", b"me"))
+        assert read(idle, 5) == b"+OK\r\n"
+        idle.send(take[:19])
+        house.loop.sleep(20 * MS)
+        house.upgrade()
+        house.until(lambda: len(house.programs) == 2 and house.programs[1] in house.serving())
+        idle.send(take[19:])  # the same token again, through the other process: nothing is counted twice
+        assert read(idle, 4).startswith(b"*3\r\n:1\r\n")
+        idle.recv(deadline=house.loop.now() + SECOND)
+        idle.send(resp_command(b"CLIENT", b"GETNAME"))
+        assert read(idle, 8) == b"$2\r\nme\r\n"
+        new = house.programs[1]
+        assert counted(new) == 5
+        stream.send(resp_command(b"LIMIT.GIVEBACK", b"a-key", b"t1"))
+        assert read(stream, 4) == b":1\r\n"
+        assert new.limits.ledger.credits()[0][:2] == (1, 5.0)
+
+    Upgraded(good, upgrade_alone=True).run(test)
+
+
+def test_a_take_that_waits_at_the_moment_is_decided_by_the_successor():
+    def test(house: Upgraded) -> None:
+        stream = house.world.connect(("127.0.0.1", 8380))
+        stream.send(resp_command(b"LIMIT.TAKE", b"a-key", b"2900"))
+        house.loop.sleep(50 * MS)
+        stream.recv()
+        stream.send(resp_command(b"LIMIT.TAKE", b"a-key", b"1500", b"WITHIN", b"9000"))
+        house.loop.sleep(100 * MS)
+        house.upgrade()
+        house.until(lambda: len(house.programs) == 2 and house.programs[1] in house.serving())
+        data = stream.recv(deadline=house.loop.now() + 9 * SECOND)
+        assert data.startswith(b"*3\r\n:1\r\n"), data
+        assert counted(house.programs[1]) == 4_400
+
+    Upgraded(good, upgrade_alone=True).run(test)
+
+
+def test_a_build_that_refuses_everything_is_recalled_and_its_clients_come_back(monkeypatch):
+    admits = Gateway._admits
+    broken: list[Gateway] = []
+
+    def refuses(self, request) -> bool:
+        return False if self in broken else admits(self, request)
+
+    monkeypatch.setattr(Gateway, "_admits", refuses)
+    go_on = handover.TakingSide._begin_trial
+
+    def spoilt(self) -> None:
+        broken.append(self.program.host.rules)
+        go_on(self)
+
+    monkeypatch.setattr(handover.TakingSide, "_begin_trial", spoilt)
+
+    def test(house: Upgraded) -> None:
+        house.load(6 * SECOND, clients=4)
+        house.loop.sleep(SECOND)
+        house.upgrade()
+        program = settle(house)
+        assert program is house.programs[0]
+        assert program.giving.machine.latest.startswith("recalled: served 0 of")
+        assert house.programs[1].failed == "recalled"
+        assert set(house.statuses) == {200, 429}
+        assert house.statuses[429] < 60
+        assert counted(program) == sent_on(house)
+
+    Upgraded(slow, slow, slow, slow, trial=3 * SECOND).run(test)
+
+
+def test_an_old_process_that_hangs_at_any_step_never_serves_beside_the_new_one():
+    def run(at: int) -> str:
+        house = Upgraded(slow, slow, slow, slow)
+
+        def test(house: Upgraded) -> None:
+            house.load(2 * SECOND)
+            house.upgrade()
+            house.loop.sleep(at)
+            house.loop.freeze(house.processes[0])
+            house.loop.sleep(12 * SECOND)
+            house.loop.thaw(house.processes[0])
+            house.until(lambda: not house.loading, 90 * SECOND)
+            house.loop.sleep(4 * SECOND)
+            (program,) = house.serving()
+            assert house.ask(GET)[0] == 200
+            assert counted(program) >= sent_on(house)  # what it decided on and could not send any more
+            found.append(program.giving.machine.latest + (" new" if program.take_over else " old"))
+
+        found: list[str] = []
+        house.run(test)
+        return found[0]
+
+    ends = {run(at) for at in (300, 600, 900, 1_200, 2_000, 300 * MS, 900 * MS)}
+    assert any(end.endswith("old") for end in ends)
+    assert any(end.endswith("new") for end in ends)
+
+
+@pytest.mark.parametrize("who", ["old", "new"])
+def test_asked_to_end_in_the_trial_one_of_them_goes_on_without_a_loss(who):
+    def test(house: Upgraded) -> None:
+        house.load(4 * SECOND)
+        house.upgrade()
+        house.until(lambda: len(house.programs) == 2 and house.programs[1] in house.serving())
+        house.loop.sleep(100 * MS)
+        asked = house.programs[0 if who == "old" else 1]
+        asked.stop()
+        program = settle(house)
+        assert program is not asked
+        assert set(house.statuses) == {200}
+        assert counted(program) == sent_on(house)
+
+    Upgraded(slow, slow, slow, slow).run(test)
+
+
+def test_without_descriptors_the_old_process_goes_on():
+    def test(house: Upgraded) -> None:
+        house.load(3 * SECOND)
+        house.world.no_descriptors = True
+        house.upgrade()
+        program = settle(house)
+        assert program is house.programs[0]
+        assert "no descriptor left" in program.giving.machine.latest
+        assert set(house.statuses) == {200}
+
+    Upgraded(slow, slow, slow, slow).run(test)
+
+
+def test_clients_that_cannot_be_taken_are_closed_between_two_requests():
+    def test(house: Upgraded) -> None:
+        idle = house.connect()
+        idle.send(GET)
+        assert house.answer(idle)[0] == 200
+        house.upgrade()
+        house.until(
+            lambda: len(house.programs) == 2 and house.programs[1].taking.machine.phase is taker.Phase.WARM
+        )
+        house.world.no_descriptors = True
+        house.until(lambda: house.programs[1] in house.serving())
+        assert idle.recv(deadline=house.loop.now() + SECOND) == b""
+        assert house.ask(GET)[0] == 200
+
+    Upgraded(good).run(test)
+
+
+def test_a_hundred_thousand_customers_pass_while_traffic_flows():
+    def test(house: Upgraded) -> None:
+        rules = house.program.host.rules
+        for customer in range(100_000):
+            rules._account(customer + 10, 0, 0, 3, trusted=True).total = 1.0
+        house.load(2 * SECOND)
+        house.upgrade()
+        program = settle(house)
+        assert program is house.programs[1]
+        assert set(house.statuses) == {200}
+        assert len(program.host.rules.accounts) == 100_001
+        assert counted(program) == sent_on(house)
+
+    Upgraded(slow, slow, slow, slow, upgrade_alone=True).run(test)
+
+
+@pytest.mark.parametrize(
+    "change, why",
+    [
+        ({"format": 99}, "format 99"),
+        ({"rank": 1}, "rank 0"),
+        ({"gateways": 5}, "need a restart"),
+        ({"plan_names": ("other",)}, "need a restart"),
+    ],
+)
+def test_a_successor_that_does_not_fit_is_told_why(monkeypatch, change, why):
+    hello = messages.Hello
+
+    def other(*values):
+        made = hello(*values)
+        return hello(**{name: getattr(made, name) for name in hello.__struct_fields__} | change)
+
+    def test(house: Upgraded) -> None:
+        with pytest.MonkeyPatch.context() as patch:
+            patch.setattr(messages, "Hello", other)
+            house.upgrade()
+            house.loop.sleep(SECOND)
+        assert why in house.programs[1].failed
+        assert house.serving() == [house.programs[0]]
+
+    Upgraded(good).run(test)
