--- a/orchidlane/cli/main.py
+++ b/orchidlane/cli/main.py
@@ -20,6 +20,7 @@
 from ..routes import Match, build, load_description
 from . import tools
 from .errors import clear_errors
+from .upgrade import upgrade
 
 
 @click.group(context_settings={"help_option_names": ["-h", "--help"]})
@@ -199,5 +200,6 @@
     tools.replay_command,
     tools.state,
     tools.top,
+    upgrade,
 ):
     main.add_command(command)
--- /dev/null
+++ b/orchidlane/cli/upgrade.py
@@ -0,0 +1,91 @@
+"""``orchidlane upgrade``: start a successor of one gateway, and say what became of it."""
+
+from __future__ import annotations
+
+import shlex
+import socket
+import subprocess
+import sys
+import time
+from typing import Any
+
+import click
+
+from ..gateway.settings import load_fleet, upgrade_address
+from ..upgrade import messages
+from .errors import clear_errors
+
+LOOK_EVERY = 0.1  # seconds between two looks
+ANSWER = 5.0  # seconds for an answer
+BEYOND = 30.0  # seconds beyond the terms of the settings
+
+
+def ask_status(path: str) -> messages.Status | None:
+    """How the process at a Unix socket stands; None where none answers."""
+    parser = messages.Parser()
+    try:
+        with socket.socket(socket.AF_UNIX, socket.SOCK_STREAM) as sock:
+            sock.settimeout(ANSWER)
+            sock.connect(path)
+            sock.sendall(messages.encode(messages.Ask()))
+            while (found := parser.next_message()) is None:
+                data = sock.recv(65536)
+                if not data:
+                    return None
+                parser.receive(data)
+    except OSError:
+        return None
+    return found if isinstance(found, messages.Status) else None
+
+
+@click.command()
+@click.argument("settings")
+@click.option(
+    "--rank", type=int, default=0, show_default=True, help="Place in the settings' list of gateways."
+)
+@click.option("--program", default="", help="The successor's command; this very program if left out.")
+@click.option("--log", "log_to", type=click.Path(dir_okay=False), help="What the successor prints goes here.")
+@click.option("--status", "only_status", is_flag=True, help="Only say how things stand.")
+def upgrade(settings: str, rank: int, program: str, log_to: str | None, only_status: bool) -> None:
+    """Hand a running gateway over to a new process, with no request lost.
+
+    Exit 0: the successor passed its trial and serves; 1: the old process goes on, and why.
+    """
+    with clear_errors():
+        fleet = load_fleet(settings)
+        if not 0 <= rank < len(fleet.gateways):
+            raise ValueError(f"--rank: found {rank}, allowed: 0 to {len(fleet.gateways) - 1}")
+        at = upgrade_address(fleet, fleet.gateways[rank])
+        if at is None:
+            raise ValueError(f"{settings}: state: a folder is wanted, where the gateway takes the call")
+        before = ask_status(at[0])
+        if before is None:
+            raise ValueError(f"{at[0]}: no gateway answers there")
+    if only_status:
+        click.echo(f"{before.phase}, process {before.pid}, build {before.build}; latest: {before.latest}")
+        return
+    command = shlex.split(program) if program else [sys.executable, "-m", "orchidlane"]
+    command += ["gateway", settings, "--rank", str(rank), "--take-over"]
+    with open(log_to or "/dev/null", "ab") as log:
+        started = subprocess.Popen(
+            command, stdin=subprocess.DEVNULL, stdout=log, stderr=log, start_new_session=True
+        )
+    terms = fleet.upgrade
+    by = time.monotonic() + (terms.warm + terms.trial) / 1e6 + BEYOND
+    outcome = _await(started, at[0], by)
+    click.echo(outcome["told"])
+    sys.exit(0 if outcome["passed"] else 1)
+
+
+def _await(started: subprocess.Popen[bytes], path: str, by: float) -> dict[str, Any]:
+    """Until the successor serves alone, or has ended."""
+    while time.monotonic() < by:
+        if started.poll() is not None:
+            status = ask_status(path)
+            why = status.latest if status is not None else "no gateway answers any more"
+            return {"passed": False, "told": f"the old process goes on: {why}"}
+        status = ask_status(path)
+        if status is not None and status.pid == started.pid:
+            return {"passed": True, "told": f"passed: process {status.pid}, build {status.build}"}
+        time.sleep(LOOK_EVERY)
+    return {"passed": False, "told": "it took too long; see --status"}
--- a/orchidlane/rules.py
+++ b/orchidlane/rules.py
@@ -122,7 +122,8 @@
             if account.out + others >= plan.open:
                 return False
         room = account.room
-        if account.fresh and self.rank in account.counts:  # unheard: a share, at least one request
+        # Unheard: a share, at least one request. A set of one has nobody to hear from.
+        if account.fresh and account.size > 1 and self.rank in account.counts:
             room = min(room, plan.burst / account.size - account.counts[self.rank][1])
         return not plan.rate or (not account.closed and room >= event.units)
 
--- a/orchidlane/upgrade/giver.py
+++ b/orchidlane/upgrade/giver.py
@@ -46,6 +46,7 @@
     start: int = 2_000_000  # from the moment to its first word
     pulse: int = 200_000  # between two of its words in the trial
     silence: int = 1_500_000  # without one it hangs
+    late: int = 250_000  # a tick later than that: we stood still ourselves
     trial: int = 5_000_000
     recall: int = 1_000_000  # to stop serving when it is asked to
     drain: int = 15_000_000  # to answer what it still holds after that
@@ -286,7 +287,10 @@
             self._wait(now, self.terms.silence)
 
     def _silent(self, now: int, _event: Ticked) -> None:
-        if now >= self.deadline:
+        """Guards against our own stall, too: a tick so late says nothing of the other, whose words wait."""
+        if now > self.deadline + self.terms.late:
+            self._wait(now, self.terms.silence)
+        elif now >= self.deadline:
             self._fence("it hangs")
 
     def _unfit(self, now: int, event: WasUnfit) -> None:
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -259,3 +259,13 @@
     bench.now += SECOND
     sends = [s for r in range(2, 9) for s in of(bench.ask(r, plan=2), api.Send)]
     assert len(sends) <= 5  # its part of eight a second
+
+
+def test_a_set_of_one_gateway_has_its_whole_quota_for_ever():
+    """Guards against a fleet of one that grants each customer its burst once and then nothing."""
+    bench = Bench(gateways=1, may_tell_peers=False)
+    granted = 0
+    for number in range(60):
+        bench.now += SECOND
+        granted += len(of(bench.feed(api.TakeArrived(number, 7, 0, 0, 1.0, 0, 1)), api.Grant))
+    assert granted == 60
