Upgrade: real processes under load, four kinds of broken builds taken back

Need: the simulated world could lie. Change: a test upgrades one gateway of a running fleet seven times on loopback sockets while clients ask, in turn with good successors and with copies of the program that do not start, crash with the listeners, crash as they serve, or refuse everything.

--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -67,7 +67,7 @@
         self.processes.append(self.process)
 
     def load(self, span: int, clients: int = 3) -> None:
-        """Clients that keep their connections, and others that don't, for so long; first a few calm requests."""
+        """Clients that keep their connections and others that don't, after a few calm requests."""
         for _ in range(40):
             assert self.ask(GET)[0] == 200
         for number in range(clients):
--- a/tests/test_upgrade_real.py
+++ b/tests/test_upgrade_real.py
@@ -2,8 +2,11 @@
 
 from __future__ import annotations
 
+import contextlib
 import json
+import os
 import shutil
+import signal
 import subprocess
 import sys
 import threading
@@ -56,7 +59,9 @@
         assert old in text, name
         changed.write_text(text.replace(old, new, 1))
         start = folder / "start"
-        start.write_text(f'#!/bin/sh\nPYTHONPATH={folder} exec {sys.executable} -m orchidlane "$@"\n')
+        start.write_text(
+            f'#!/bin/sh\ncd {folder} && PYTHONPATH={folder} exec {sys.executable} -m orchidlane "$@"\n'
+        )
         start.chmod(0o755)
         found[name] = str(start)
     return found
@@ -76,7 +81,8 @@
     backing = RealBacking(str(tmp_path))
     slow = day(span=30, rate=60.0)
     plan = make_plan(slow, str(tmp_path), backing.free_addresses)
-    plan.text += '\nupgrade: trial: "1s"\n'
+    assert 'trial: "5s"' in plan.text
+    plan.text = plan.text.replace('trial: "5s"', 'trial: "1s"')
     backing.prepare(plan)
     loop = Loop(RealWorld(3))
     runner = Runner(loop, plan, backing)
@@ -103,7 +109,13 @@
         runner.crowd.span = 0
 
     found = []
-    loop.run(lambda: (loop.spawn(drive, process=loop.home), found.append(runner.run())))
+    try:
+        loop.run(lambda: (loop.spawn(drive, process=loop.home), found.append(runner.run())))
+    finally:  # the last successor is nobody's child here
+        for _, code, told in ends:
+            if code == 0:
+                with contextlib.suppress(ProcessLookupError):
+                    os.kill(int(told.split()[2].rstrip(",")), signal.SIGKILL)
     verdict = found[0]
     assert [(name, code) for name, code, _ in ends] == [(name, int(bool(name))) for name in order], ends
     told = verdict.as_json()
