One wait for places of the simulated world, one word on harmless repeats, pages cost their rows

Found on reading the change again: listener and datagrams repeated one wait, two audits one rule, and a page of the pre-copy copied all keys that were left. Behaviour stays.

--- a/orchidlane/gateway/handover.py
+++ b/orchidlane/gateway/handover.py
@@ -254,6 +254,7 @@
         self.used = (0, 0)  # sequence and request numbers that the successor told last
         self.pause = 0  # from the moment to the successor's first word, microseconds
         self._copy: PreCopy | None = None
+        self._copying: int | None = None  # the channel that it goes to
         self._samples: deque[Answers] = deque(maxlen=SAMPLES)
         self._before = Answers()
         self._moment = 0
@@ -339,7 +340,7 @@
 
     def _turn_away(self, action: giver.TurnAway) -> None:
         channel = self.channels.get(action.channel)
-        if self._copy is not None and action.channel == getattr(self, "_copying", None):
+        if self._copy is not None and action.channel == self._copying:
             self._copy.close()
             self._copy = None
         if channel is not None:
@@ -863,7 +864,8 @@
 
     def _be_free(self) -> None:
         self._stop_mirroring()
-        self.channel.stream.kill_peer() if self.channel.closed else None
+        if self.channel.closed:
+            self.channel.stream.kill_peer()
         self.program.giving.listen()
 
     def _stop_mirroring(self) -> None:
--- a/orchidlane/lab/audit.py
+++ b/orchidlane/lab/audit.py
@@ -16,6 +16,7 @@
 
 from .. import interface as api
 from ..record import TrueStore
+from ..record.audit import harmless
 from .records import TERMS, Arrival, Away, Extra, Fell, Record, Run, Take, Told, Try, decode
 
 
@@ -205,10 +206,7 @@
     found = []
     for one in tries:
         cls = terms.effects[one.class_name]
-        harmless = cls.effect is api.Effect.SAFE or (
-            cls.effect is api.Effect.KEYED and cls.group is api.Group.ALL
-        )
-        if one.harmless and not harmless and one.name in ran:
+        if one.harmless and not harmless(cls) and one.name in ran:
             found.append(one.name)
     return found
 
--- a/orchidlane/loop/simulated.py
+++ b/orchidlane/loop/simulated.py
@@ -420,7 +420,42 @@
         self._wake_writer()
 
 
-class SimListener(_Held):
+class _Place(_Held):
+    """A bound address, where tasks of the processes that hold it wait for what arrives."""
+
+    world: SimWorld
+    tasks: list[Task]
+    closed: bool
+
+    @property
+    def process(self) -> Process:
+        """One of the processes that hold it: all are on one machine."""
+        return next((one for one in self.holders if isinstance(one, Process)), self.world.loop.home)
+
+    def _wait_for(self, arrived: deque[Any], deadline: int | None) -> None:
+        """Wait until something has arrived. Raises Closed, Expired."""
+        loop = self.world.loop
+        while True:
+            if self.closed or loop.process not in self.holders:
+                raise Closed("closed on our side")
+            if arrived:
+                return
+            task = loop.current
+            assert task is not None
+            self.tasks.append(task)
+            try:
+                loop.park(deadline)
+            finally:
+                if task in self.tasks:
+                    self.tasks.remove(task)
+
+    def close(self) -> None:
+        self.lose(self.world.loop.process)
+        for task in [one for one in self.tasks if one.process not in self.holders]:
+            self.world.loop.wake(task)
+
+
+class SimListener(_Place):
     """A bound address with its queue of connections not yet taken."""
 
     def __init__(self, world: SimWorld, address: Address, backlog: int) -> None:
@@ -432,11 +467,6 @@
         self.tasks: list[Task] = []
         self.closed = False
 
-    @property
-    def process(self) -> Process:
-        """One of the processes that hold it: all are on one machine."""
-        return next((one for one in self.holders if isinstance(one, Process)), self.world.loop.home)
-
     def full(self) -> bool:
         """Whether the queue takes no more."""
         return len(self.queue) >= self.backlog
@@ -450,19 +480,7 @@
     def accept(self, deadline: int | None = None) -> SimStream:
         loop = self.world.loop
         loop.breathe()
-        while True:
-            if self.closed or loop.process not in self.holders:
-                raise Closed("closed on our side")
-            if self.queue:
-                break
-            task = loop.current
-            assert task is not None
-            self.tasks.append(task)
-            try:
-                loop.park(deadline)
-            finally:
-                if task in self.tasks:
-                    self.tasks.remove(task)
+        self._wait_for(self.queue, deadline)
         stream = self.queue.popleft()
         stream.holders, before = {loop.process: None}, stream.process
         self.world.streams.get(before, {}).pop(stream, None)
@@ -470,11 +488,6 @@
         self.world.streams.setdefault(loop.process, {})[stream] = None
         return stream
 
-    def close(self) -> None:
-        self.lose(self.world.loop.process)
-        for task in [one for one in self.tasks if one.process not in self.holders]:
-            self.world.loop.wake(task)
-
     def _end_hold(self) -> None:
         if self.closed:
             return
@@ -486,7 +499,7 @@
             self.world.loop.wake(task)
 
 
-class SimDatagrams(_Held):
+class SimDatagrams(_Place):
     """A bound address for datagrams."""
 
     def __init__(self, world: SimWorld, address: Address) -> None:
@@ -497,27 +510,9 @@
         self.tasks: list[Task] = []
         self.closed = False
 
-    @property
-    def process(self) -> Process:
-        """One of the processes that hold it: all are on one machine."""
-        return next((one for one in self.holders if isinstance(one, Process)), self.world.loop.home)
-
     def recv(self, deadline: int | None = None) -> tuple[bytes, Address]:
-        loop = self.world.loop
-        while True:
-            if self.closed or loop.process not in self.holders:
-                raise Closed("closed on our side")
-            if self.inbox:
-                break
-            task = loop.current
-            assert task is not None
-            self.tasks.append(task)
-            try:
-                loop.park(deadline)
-            finally:
-                if task in self.tasks:
-                    self.tasks.remove(task)
-        loop.breathe()
+        self._wait_for(self.inbox, deadline)
+        self.world.loop.breathe()
         return self.inbox.popleft()
 
     def send(self, data: bytes, to: Address) -> None:
@@ -540,11 +535,6 @@
             if target.tasks:
                 self.world.loop.wake(target.tasks.pop(0))
 
-    def close(self) -> None:
-        self.lose(self.world.loop.process)
-        for task in [one for one in self.tasks if one.process not in self.holders]:
-            self.world.loop.wake(task)
-
     def _end_hold(self) -> None:
         if not self.closed:
             self.closed = True
--- a/orchidlane/record/audit.py
+++ b/orchidlane/record/audit.py
@@ -169,7 +169,7 @@
         if request is None:
             self.found.fault("doubled", f"{self.name}-{action.request}")
             return
-        if isinstance(action, api.Refuse) and request.may_have_run and not _harmless(self._class(request)):
+        if isinstance(action, api.Refuse) and request.may_have_run and not harmless(self._class(request)):
             self.found.fault("refused but may have run", f"{self.name}-{action.request}")
         self._answered(action.request, request, now)
 
@@ -216,7 +216,8 @@
                 self.found.open_at_end += 1
 
 
-def _harmless(cls: api.RequestClass) -> bool:
+def harmless(cls: api.RequestClass) -> bool:
+    """Whether a repeat is, though the request may have run."""
     return cls.effect is Effect.SAFE or (cls.effect is Effect.KEYED and cls.group is Group.ALL)
 
 
--- a/orchidlane/upgrade/precopy.py
+++ b/orchidlane/upgrade/precopy.py
@@ -48,7 +48,8 @@
         while True:
             for table, left in zip(self.tables, self._left, strict=True):
                 if left:
-                    keys, left[:] = left[-PAGE:], left[:-PAGE]
+                    keys = left[-PAGE:]
+                    del left[-PAGE:]  # a page costs its own rows, however many are left
                     return self._rows(table, keys)
             if self.rounds >= ROUNDS or sum(map(len, self._touched)) <= SMALL:
                 return None
