--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -10,6 +10,16 @@
 from orchidlane.rules import Gateway
 
 SECOND = 1_000_000
+WHOLE_MACHINE = ("cli", "day", "loop", "record", "tools", "upgrade_real", "wire")  # real sockets, all cores
+
+
+def pytest_collection_modifyitems(items: list[pytest.Item]) -> None:
+    """Tests that need real time or all cores follow each other; one file's others stay together."""
+    for item in items:
+        name = item.path.stem.removeprefix("test_")
+        item.add_marker(pytest.mark.xdist_group("machine" if name in WHOLE_MACHINE else name))
+
+
 T0 = 1_000 * SECOND  # a clock time well after any start
 
 SAFE = api.RequestClass(500_000, 2 * SECOND, 1.0, 0.0, api.Effect.SAFE, api.Group.ALL, 0)
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -107,7 +107,7 @@
     secret = tmp_path / "m" / "secret"
     secret.write_bytes(b"0123456789abcdef")
     secret.chmod(0o600)
-    held = [socket.socket() for _ in range(4)]
+    held = [socket.socket() for _ in range(5)]
     for sock in held:
         sock.bind(("127.0.0.1", 0))
     ports = [sock.getsockname()[1] for sock in held]
@@ -115,7 +115,7 @@
         sock.close()
     file = tmp_path / "m" / "fleet.cue"
     text = file.read_text()
-    for old, new in zip((8080, 8180, 8280, 8300), ports, strict=True):
+    for old, new in zip((8080, 8180, 8280, 8300, 8380), ports, strict=True):
         text = text.replace(f":{old}", f":{new}")
     file.write_text(text)
     digest = "8d" * 32
