--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -10,7 +10,16 @@
 from orchidlane.rules import Gateway
 
 SECOND = 1_000_000
-WHOLE_MACHINE = ("cli", "day", "loop", "record", "tools", "upgrade_real", "wire")  # real sockets, all cores
+WHOLE_MACHINE = (
+    "cli",
+    "day",
+    "loop",
+    "record",
+    "resp",
+    "tools",
+    "upgrade_real",
+    "wire",
+)  # real sockets, all cores
 
 
 def pytest_collection_modifyitems(items: list[pytest.Item]) -> None:
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -122,7 +122,7 @@
     (tmp_path / "m" / "customers.json").write_text(
         json.dumps({"customers": [{"id": 1, "plan": "basico", "keys": [digest]}]})
     )
-    (tmp_path / "m" / "port").write_text(f"{ports[0]} {ports[2]}")
+    (tmp_path / "m" / "port").write_text(f"{ports[0]} {ports[2]} {ports[4]}")
     return tmp_path / "m"
 
 
@@ -131,7 +131,7 @@
 
     def __init__(self, folder: Path, descriptors: int | None = None) -> None:
         self.log = folder / "log"
-        self.port, self.admin = map(int, (folder / "port").read_text().split())
+        self.port, self.admin, self.resp = map(int, (folder / "port").read_text().split())
         command = [sys.executable, "-m", "orchidlane", "gateway", str(folder / "fleet.cue")]
 
         def limit() -> None:
--- a/tests/test_resp.py
+++ b/tests/test_resp.py
@@ -153,11 +153,8 @@
 @pytest.fixture
 def front(folder):  # noqa: F811
     """A single gateway with a RESP front; its only customer is acero on basico (4 a second, 12 at once)."""
-    with socket.socket() as sock:
-        sock.bind(("127.0.0.1", 0))
-        port = sock.getsockname()[1]
     file = folder / "fleet.cue"
-    lines = file.read_text().replace(":8380", f":{port}").splitlines()
+    lines = file.read_text().splitlines()
     kept = [line for line in lines if 'name: "gw-1"' not in line and 'name: "gw-2"' not in line]
     password = hashlib.sha256(b"secret").hexdigest()
     limits = f'limits: {{passwords: ["{password}"], token_life: "300ms"}}'
@@ -166,7 +163,7 @@
     (folder / "customers.json").write_text(json.dumps(customers))
     process = Process(folder)
     process.until("started")
-    yield port
+    yield process.resp
     process.process.kill()
     process.process.wait()
 
--- a/tests/test_upgrade_real.py
+++ b/tests/test_upgrade_real.py
@@ -5,77 +5,30 @@
 import contextlib
 import json
 import os
-import shutil
 import signal
 import subprocess
 import sys
 import threading
 import time
 from collections.abc import Callable
-from pathlib import Path
 
 import pytest
 from test_day import day, quiet  # noqa: F401
 from test_record import run
 
-import orchidlane
 from orchidlane.gateway.settings import upgrade_address
 from orchidlane.gateway.status import ask_status
 from orchidlane.lab.audit import Verdict
 from orchidlane.lab.backing import RealBacking
+from orchidlane.lab.broken import BROKEN, make_build
 from orchidlane.lab.day import Runner, make_plan
 from orchidlane.loop import Loop, RealWorld
 
-BROKEN = {  # what is changed in a copy of the program
-    "does not start": (
-        "gateway/handover.py",
-        "class TakingSide:",
-        "raise SystemExit(3)\n\n\nclass TakingSide:",
-    ),
-    "crashes with the listeners": (
-        "gateway/handover.py",
-        "            case taker.Check():\n",
-        "            case taker.Check():\n                os._exit(9)\n",
-    ),
-    "crashes as it serves": (
-        "gateway/handover.py",
-        "        self.channel.send(messages.Started())\n",
-        "        self.channel.send(messages.Started())\n"
-        "        self.loop.call_at(self.loop.now() + 150_000, lambda _: os._exit(9))\n",
-    ),
-    "fails as it serves": (  # not a crash: all that it has is ended in order
-        "gateway/handover.py",
-        "        self.channel.send(messages.Started())\n",
-        "        self.channel.send(messages.Started())\n"
-        "        self.loop.call_at(self.loop.now() + 150_000, lambda _: 1 // 0)\n",
-    ),
-    "refuses everything": (
-        "rules.py",
-        "        self._lift(account)\n        if plan.ceiling_rate",
-        "        self._lift(account)\n        return False\n        if plan.ceiling_rate",
-    ),
-}
-
 
 @pytest.fixture(scope="module")
 def builds(tmp_path_factory) -> dict[str, str]:
     """The command of each broken build."""
-    found = {}
-    for name, (file, old, new) in BROKEN.items():
-        folder = tmp_path_factory.mktemp("build")
-        source = Path(orchidlane.__file__).parent
-        shutil.copytree(source, folder / "orchidlane", ignore=shutil.ignore_patterns("__pycache__"))
-        changed = folder / "orchidlane" / file
-        text = changed.read_text()
-        assert old in text, name
-        changed.write_text(text.replace(old, new, 1))
-        start = folder / "start"
-        start.write_text(
-            f'#!/bin/sh\ncd {folder} && PYTHONPATH={folder} exec {sys.executable} -m orchidlane "$@"\n'
-        )
-        start.chmod(0o755)
-        found[name] = str(start)
-    return found
+    return {name: make_build(tmp_path_factory.mktemp("build"), change) for name, change in BROKEN.items()}
 
 
 def under_load(runner: Runner, work: Callable[[], None]) -> Verdict:
