Restart from accounts a few seconds old, with what may have been spent since held back

Need: a gateway that was killed gave each customer of its own its burst again; a fleet that was killed together knew nothing of anybody.

Change: accounts are written down every few seconds beside the traffic, and exactly at an orderly end. The next life (upgrade/restart.py, no I/O) believes the counts and begins without room, filling from the latest moment at which the earlier one may still have spent; peers that lived on lift that. A file that is not renewed in time goes.

Result (simulated): three gateways killed together four times in 12 s: less than a third of the units beyond quota; one true store's bound holds for any asks, moments and promises (hypothesis).

--- a/orchidlane/gateway/program.py
+++ b/orchidlane/gateway/program.py
@@ -21,6 +21,7 @@
 from .host import Host
 from .knowledge import Knowledge, read_knowledge
 from .limits import LimitService
+from .memory import Memory
 from .metrics import Metrics
 from .nodelist import ListTracker
 from .recorder import Recorder
@@ -72,6 +73,7 @@
         self.front: Front
         self.host: Host
         self.inbox: Inbox
+        self.memory: Memory | None = None
         self.tracker = ListTracker(self.entry.zone, fleet.bounds.nodes)
         self._hearing: Task
 
@@ -95,6 +97,8 @@
             self.giving.part()
             if self.host.recorder is not None:
                 self.host.recorder.finish()
+            if self.memory is not None and not self.quiet:
+                self.memory.finish()
             scope.cancel()
         for place in self.places.values():
             place.close()
@@ -159,7 +163,7 @@
             lambda: self.knowledge,
             self.about,
             lambda: self.ready and not self.stopping,
-            self._names,
+            self.names,
         )
         cache = f"{self.fleet.state}/{self.entry.name}.nodes.json" if self.fleet.state else ""
         self.watch = Watch(self.loop, self.fleet, self.tracker, self.entry.name, cache, self._listed)
@@ -168,6 +172,7 @@
         """Take requests; what is not bound or taken over yet is bound here."""
         if not self.take_over:
             self.watch.restore()
+        self._remember(scope)
         for name in ("http", "peer", "resp", "admin"):
             self.open(name)
         self.host.start()
@@ -182,6 +187,16 @@
         self.ready = True
         self.log.info("started", listen=self.entry.listen, rank=self.rank, pid=os.getpid())
 
+    def _remember(self, scope: Scope) -> None:
+        """Go on with the accounts of an earlier life, unless another process told us its own."""
+        if not self.fleet.state or not self.fleet.restart.every:
+            return
+        self.memory = Memory(self, f"{self.fleet.state}/{self.entry.name}.accounts")
+        if not self.take_over:
+            self.log.info("remembered", accounts=self.memory.load())
+            self.memory.begin()
+        scope.spawn(self.memory.work, kind=BACKGROUND, name="memory")
+
     def _listen(self) -> None:
         self._hearing = self.scope.spawn(self._hear, kind=PEERS, name="peers")
         if "admin" in self.places:
@@ -217,7 +232,8 @@
         if "resp" in self.places:
             self.resp.resume()
 
-    def _names(self) -> Names:
+    def names(self) -> Names:
+        """The names that a state's numbers stand for: classes, plans."""
         return self.knowledge.generation.class_names, tuple(self.fleet.plans)
 
     def about(self) -> dict[str, Any]:
@@ -234,9 +250,7 @@
         }
 
     def _record(self, scope: Scope, folder: str) -> None:
-        recorder = Recorder(
-            self.loop, folder, self.entry.name, self.host, self._names(), self.log, self.about
-        )
+        recorder = Recorder(self.loop, folder, self.entry.name, self.host, self.names(), self.log, self.about)
         self.host.recorder = recorder
         scope.spawn(recorder.work, kind=BACKGROUND, name="recorder")
 
--- a/orchidlane/gateway/schema.cue
+++ b/orchidlane/gateway/schema.cue
@@ -106,6 +106,11 @@
 	silence: *"1500ms" | #Duration // a successor that says nothing for so long hangs
 }
 
+// What a gateway that starts anew knows of its customers; only with a folder for the state.
+#Restart: {
+	every: *"5s" | #Duration // the accounts are written down; "0s": never
+}
+
 // An upgrade of all gateways: how much may be at risk at once, beside one gateway that always may.
 #Roll: {
 	share:     *0.25 | number & >0 & <=1 // of all gateways
@@ -129,6 +134,7 @@
 	limits:       #Limits
 	upgrade:      #Upgrade
 	roll:         #Roll
+	restart:      #Restart
 	max_attempts: *3 | int & >=1 & <=16
 	log_requests: *false | bool
 }
--- a/orchidlane/gateway/settings.py
+++ b/orchidlane/gateway/settings.py
@@ -131,6 +131,12 @@
     silence: Duration
 
 
+class RestartTerms(msgspec.Struct, frozen=True):
+    """See ``#Restart``; the span in microseconds."""
+
+    every: Duration
+
+
 class RollTerms(msgspec.Struct, frozen=True):
     """See ``#Roll``; the span in microseconds."""
 
@@ -157,6 +163,7 @@
     limits: LimitTerms
     upgrade: UpgradeTerms
     roll: RollTerms
+    restart: RestartTerms
     max_attempts: int
     log_requests: bool
 
--- a/orchidlane/record/segments.py
+++ b/orchidlane/record/segments.py
@@ -13,11 +13,12 @@
 
 from __future__ import annotations
 
+import io
 import struct
 import zlib
 from collections.abc import Iterator
 from pathlib import Path
-from typing import Any, NamedTuple
+from typing import Any, BinaryIO, NamedTuple
 
 import msgspec
 
@@ -114,10 +115,11 @@
 class SegmentReader:
     """Reads one segment; ``broken`` tells afterwards whether and why it ended early."""
 
-    def __init__(self, path: str) -> None:
+    def __init__(self, path: str, data: bytes | None = None) -> None:
+        """Of the file, or of ``data`` that was read of it."""
         self.path = path
         self.broken: Broken | None = None
-        self._file = open(path, "rb")  # noqa: SIM115 (closed by close)
+        self._file: BinaryIO = open(path, "rb") if data is None else io.BytesIO(data)  # noqa: SIM115 (by close)
         magic = self._file.read(len(MAGIC))
         if magic != MAGIC:
             self.close()
--- /dev/null
+++ b/tests/test_restart.py
@@ -0,0 +1,196 @@
+"""A gateway that starts anew with the accounts of its earlier life: no quota spent twice."""
+
+from __future__ import annotations
+
+import dataclasses
+
+import msgspec
+import pytest
+from conftest import PLAIN, SECOND, SETTINGS
+from house import GET, MS, House
+from house import SETTINGS as FLEET
+from hypothesis import given
+from hypothesis import strategies as st
+from test_day import day, quiet  # noqa: F401
+from test_upgrade import slow
+
+from orchidlane import interface as api
+from orchidlane.config import Duration
+from orchidlane.gateway.settings import parse_fleet
+from orchidlane.lab.backing import SimulatedBacking
+from orchidlane.lab.day import Runner, make_plan
+from orchidlane.loop import Loop, SimWorld
+from orchidlane.record.dump import dump_account
+from orchidlane.rules import Gateway
+from orchidlane.state import Account
+from orchidlane.upgrade.restart import Life, survivors
+
+START = 10**15
+PLANS = ("basico", "amplio")
+FULL = 30  # of a burst of 40: below a quarter a customer is closed, rules.CLOSE
+
+
+def module(rate: float, burst: float) -> Gateway:
+    plan = dataclasses.replace(PLAIN, rate=rate, burst=burst)
+    alone = dataclasses.replace(SETTINGS, gateways=1, may_tell_peers=False, plans=(plan,))
+    return Gateway(alone, 1, START)
+
+
+def take(gateway: Gateway, now: int, units: float) -> bool:
+    asked = api.TakeArrived(now, 1, 0, 0, units, 0, 1)
+    return any(isinstance(action, api.Grant) for action in gateway.handle(now, asked))
+
+
+@given(
+    st.lists(st.tuples(st.integers(0, 3_000), st.integers(1, 6)), max_size=40),
+    st.integers(0, 39),
+    st.integers(0, 20_000),
+    st.integers(0, 5_000),
+)
+def test_no_life_spends_what_an_earlier_one_may_have_spent(asked, at, gap, promise):
+    """Whatever was asked and whenever it was written down, both lives together keep within one true store."""
+    rate, burst = 5.0, 12.0
+    gateway, now, row, taken = module(rate, burst), START, None, START
+    spent: list[tuple[int, float]] = []
+    for number, (span, units) in enumerate(asked):
+        now += span * MS
+        if number == at or row is None:
+            account = gateway.accounts.get(1)
+            row, taken = (dump_account(account) if account else None), now
+        if row is not None and now > taken + promise * MS:
+            break  # it would have been renewed by then
+        if take(gateway, now, units):
+            spent.append((now, units))
+    if row is None:
+        return
+    now = max(now, taken) + gap * MS
+    again = module(rate, burst)
+    (account,) = survivors([row], Life(0, ["a"], taken, taken + promise * MS, False), ["a"], now)
+    again.accounts[1] = account
+    again.idle_queue.append(1)
+    for _ in range(30):
+        if take(again, now, 1.0):
+            spent.append((now, 1.0))
+        now += 100 * MS
+    room, last = burst, START
+    for when, units in spent:
+        room, last = min(burst, room + rate * (when - last) / SECOND) - units, when
+        assert room > -1e-6
+
+
+def test_what_is_kept_and_what_begins_anew():
+    account = Account(7, (1, 0, 3), 90.0, START, {0: (5, 10.0), 1: (6, 20.0)}, 30.0, 30.0, (1, 0), False, 2)
+    account.ceiling, account.others, account.spread = 9.0, (START,), START
+    row = dump_account(account)
+    life = Life(0, PLANS, START, START + 4 * SECOND, False)
+    (found,) = survivors([row], life, ("amplio", "other"), START + 9 * SECOND)
+    assert (found.plan, found.room, found.risen) == (0, 0.0, START + 4 * SECOND)
+    assert (found.counts, found.news, found.total, found.spent) == ({1: (6, 20.0)}, (1,), 30.0, 30.0)
+    assert (found.fresh, found.out, found.ceiling, found.others) == (True, 0, 0.0, ())
+    (clean,) = survivors([row], life._replace(until=START, clean=True), PLANS, START + 9 * SECOND)
+    assert (clean.room, clean.risen) == (60.0, START)
+    (back,) = survivors([row], life._replace(clean=True), PLANS, START - SECOND)
+    assert (back.room, back.risen) == (0.0, START - SECOND)
+    assert list(survivors([row], life, ("another",), START)) == []
+
+
+class Alone(House):
+    """One gateway in its fleet, with a folder for its state."""
+
+    def __init__(self, *handlers) -> None:
+        example = parse_fleet(FLEET, "fleet.cue")
+        plans = {"basico": msgspec.structs.replace(example.plans["basico"], rate=2.0, burst=40.0)}
+        super().__init__(*handlers, state="/sim", gateways=example.gateways[:1], plans=plans)
+
+    def spend(self, most: int) -> int:
+        """How many of so many requests at once are served."""
+        return sum(self.ask(GET)[0] == 200 for _ in range(most))
+
+
+def again(house: House) -> None:
+    house.start()
+    house.loop.sleep(300 * MS)
+
+
+def test_a_killed_gateway_gives_no_customer_its_burst_again():
+    def test(house: Alone) -> None:
+        assert house.spend(20) == 20
+        house.loop.sleep(6 * SECOND)  # it is written down; 32 are free
+        assert house.spend(20) == 20
+        house.world.kill(house.process)
+        again(house)
+        assert house.spend(40) == 0
+        house.loop.sleep(40 * SECOND)
+        assert house.spend(40) >= FULL
+
+    Alone(slow, slow).run(test)
+
+
+def test_an_orderly_restart_goes_on_exactly():
+    def test(house: Alone) -> None:
+        assert house.spend(20) == 20
+        house.program.stop()
+        while house.process.tasks:
+            house.loop.sleep(10 * MS)
+        house.world.kill(house.process)
+        again(house)
+        assert 10 <= house.spend(40) <= 14
+
+    Alone(slow, slow).run(test)
+
+
+@pytest.mark.parametrize("spoil", [b"", b"garbage", b"OLREC1\n", None])
+def test_accounts_that_cannot_be_read_are_left_and_a_late_file_goes(spoil):
+    def test(house: Alone) -> None:
+        path = "/sim/gw-0.accounts"
+        assert house.spend(10) == 10
+        house.loop.sleep(6 * SECOND)
+        house.world.kill(house.process)
+        data = house.world.files[path]
+        house.world.files[path] = data[: len(data) // 2] if spoil is None else spoil
+        again(house)
+        assert house.spend(40) >= FULL  # as without any
+        assert house.world.files[path] != data
+
+        def full(path: str, data: bytes) -> None:
+            raise OSError(28, "No space left on device")
+
+        house.world.write_file = full
+        house.loop.sleep(60 * SECOND)
+        assert path not in house.world.files
+        assert house.ask(GET)[0] == 200
+
+    Alone(slow, slow).run(test)
+
+
+def test_a_fleet_that_is_killed_together_and_remembers_goes_less_beyond_its_quotas():
+    """The same killed day with and without what was written down."""
+
+    def beyond(every: int) -> tuple[float, dict[str, bool]]:
+        world = SimWorld(11)
+        loop = Loop(world)
+        backing = SimulatedBacking(loop, world)
+        plan = make_plan(day(span=12, rate=160.0, customers=6, takes=0.0), "sim", backing.free_addresses)
+        restart = msgspec.structs.replace(plan.fleet.restart, every=Duration(every))
+        plan.fleet = msgspec.structs.replace(plan.fleet, restart=restart)
+        backing.prepare(plan)
+        runner = Runner(loop, plan, backing)
+
+        def kills() -> None:
+            while runner.crowd is None:
+                loop.sleep(50 * MS)
+            for _ in range(4):
+                loop.sleep(2_500 * MS)
+                for rank in range(3):
+                    backing.end_gateway(rank, kill=True)
+                for rank in range(3):
+                    backing.start_gateway(rank)
+
+        found = []
+        loop.run(lambda: (loop.spawn(kills, process=loop.home), found.append(runner.run())))
+        return found[0].beyond, found[0].rules
+
+    forgot, _ = beyond(0)
+    remembered, rules = beyond(SECOND)
+    assert rules["5"] and rules["2"]
+    assert forgot > 20 and remembered < forgot / 3, (forgot, remembered)
