--- a/benchmarks/upgrade.py
+++ b/benchmarks/upgrade.py
@@ -120,6 +120,8 @@
             text=True,
             check=False,
         )
+        if bool(done.returncode) != bool(name):
+            print(f"unlike wanted: {name or 'good'}: {done.stdout}{done.stderr}", flush=True)
         self.upgrades.append((began, self.runner.loop.now(), name, done.returncode == 0))
 
     def answer_times(self) -> tuple[list[float], list[float]]:
@@ -175,8 +177,10 @@
                 scene.upgrade(name, builds.get(name, ""))
                 time.sleep(1.5)  # answers without one
             scene.runner.end_load()
-            time.sleep(4)  # the last answers
-            units[0] = scene.counted()
+            with contextlib.suppress(OSError):  # until all have ended: the last word is that of all answers
+                while True:
+                    units[0] = scene.counted()
+                    time.sleep(0.1)
 
         verdict = scene.play(work)
         stayed = sum(passed for _, _, _, passed in scene.upgrades)
--- a/orchidlane/cli/upgrade.py
+++ b/orchidlane/cli/upgrade.py
@@ -2,11 +2,13 @@
 
 from __future__ import annotations
 
+import os
 import shlex
 import subprocess
 import sys
+import tempfile
 import time
-from typing import Any
+from typing import IO, Any
 
 import click
 
@@ -18,6 +20,7 @@
 
 LOOK_EVERY = 0.1  # seconds between two looks
 ANSWER_WITHIN = 5_000_000  # microseconds
+WORDS_MOST, WORDS_LINES = 1 << 20, 5  # bytes looked at, lines told of what a failed successor printed
 BEYOND = 30.0  # seconds beyond the terms of the settings
 
 
@@ -56,17 +59,32 @@
         return
     command = shlex.split(program) if program else [sys.executable, "-m", "orchidlane"]
     command += ["gateway", settings, "--rank", str(rank), "--take-over"]
-    with open(log_to or "/dev/null", "ab") as log:
+    with open(log_to, "a+b") if log_to else tempfile.TemporaryFile() as log:
+        since = log.seek(0, os.SEEK_END)
         started = subprocess.Popen(
             command, stdin=subprocess.DEVNULL, stdout=log, stderr=log, start_new_session=True
         )
-    terms = fleet.upgrade
-    by = time.monotonic() + (terms.warm + terms.trial) / 1e6 + BEYOND
-    outcome = _await(started, at[0], by)
-    click.echo(outcome["told"])
+        terms = fleet.upgrade
+        by = time.monotonic() + (terms.warm + terms.trial) / 1e6 + BEYOND
+        outcome = _await(started, at[0], by)
+        click.echo(outcome["told"])
+        if not outcome["passed"]:
+            _tell_last_words(log, since)
     sys.exit(0 if outcome["passed"] else 1)
 
 
+def _tell_last_words(log: IO[bytes], since: int) -> None:
+    """What the successor said in plain words, which may be all that is known of it."""
+    log.seek(since)
+    said = [
+        line
+        for line in log.read(WORDS_MOST).decode(errors="replace").splitlines()
+        if line and line[0] not in "{ "
+    ]
+    for line in said[-WORDS_LINES:]:
+        click.echo(f"its words: {line}", err=True)
+
+
 def _await(started: subprocess.Popen[bytes], path: str, by: float) -> dict[str, Any]:
     """Until the successor serves alone, or has ended."""
     while time.monotonic() < by:
--- a/orchidlane/upgrade/batch.py
+++ b/orchidlane/upgrade/batch.py
@@ -95,21 +95,22 @@
 ) -> list[int]:
     """The largest batch found of those wanted, of at most ``most``, beside those that are at risk already.
 
-    Ranks follow the ring from a few starts, hall by hall; then the least loaded first. The first of the best
-    orders wins, so that the same fleet gives the same batch.
+    Hall by hall, the least loaded first; then along the ring from a few starts. The first of the best orders
+    wins, so that the same fleet gives the same batch.
     """
-    risk = set(at_risk)
+    risk, members = set(at_risk), fleet.members
     if not wanted:
         return []
-    step = max(1, len(wanted) // STARTS)
-    orders = [[*wanted[start:], *wanted[:start]] for start in range(0, len(wanted), step)]
-    by_hall = [
-        sorted(order, key=lambda rank: fleet.members[rank].hall != fleet.members[order[0]].hall)
-        for order in orders
+    halls = sorted({members[rank].hall for rank in wanted})
+    orders = [
+        sorted(wanted, key=lambda rank: (members[rank].hall != hall, members[rank].load)) for hall in halls
     ]
-    lightest = sorted(wanted, key=lambda rank: fleet.members[rank].load)
+    step = max(1, len(wanted) // STARTS)
+    for start in range(0, len(wanted), step):
+        first, order = wanted[start], [*wanted[start:], *wanted[:start]]
+        orders.append(sorted(order, key=lambda rank: members[rank].hall != members[first].hall))
     best: list[int] = []
-    for order in (*by_hall, lightest):
+    for order in orders:
         found = _packed(fleet, limits, order, risk, most)
         if len(found) > len(best):
             best = found
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import os
 import resource
 import shutil
 import signal
@@ -186,6 +187,44 @@
     gateway.until("ended")
 
 
+def test_settings_and_classes_change_by_an_upgrade_and_bad_ones_are_refused(folder):
+    """The way to other classes and settings; what can't be used is told, and the old process stays."""
+    file, description = folder / "fleet.cue", folder / "openapi.yaml"
+    settings, good = file.read_text(), description.read_text()
+    lines = settings.splitlines()
+    kept = [line for line in lines if not any(name in line for name in ('"gw-1"', '"gw-2"'))]
+    settings = "\n".join(kept).replace('state:       ""', 'state: "."') + '\nupgrade: trial: "300ms"\n'
+    file.write_text(settings)
+    old = Process(folder)
+    old.until("started")
+    command = [sys.executable, "-m", "orchidlane", "upgrade", str(file), "--log", str(folder / "new.log")]
+
+    def upgrade() -> tuple[int, str]:
+        done = subprocess.run(command, capture_output=True, text=True, timeout=60)
+        return done.returncode, done.stdout + done.stderr
+
+    try:
+        file.write_text(settings.replace("rate: 4,", "rate: -4,"))
+        code, told = upgrade()
+        assert (code, "plans.basico.rate: found -4" in told) == (2, True), told
+        file.write_text(settings)
+        description.write_text(good.replace("effect: safe", "effect: often"))
+        code, told = upgrade()
+        assert (code, "found effect 'often'" in told) == (1, True), told
+        assert old.get(old.port, "/v1/extra").startswith(b"HTTP/1.1 404 ")
+        assert old.process.poll() is None
+        changed = good.replace("/sheets/latest:", "/extra:")
+        description.write_text(changed.replace("aim: 400ms", "aim: 410ms"))
+        code, told = upgrade()
+        assert code == 0, told
+        assert old.process.wait(10) == 0
+        assert old.get(old.port, "/v1/extra").startswith(b"HTTP/1.1 401 ")
+        os.kill(int(told.split()[2].rstrip(",")), signal.SIGTERM)
+    finally:
+        old.process.kill()
+        old.process.wait()
+
+
 def test_ten_thousand_idle_connections_leave_room_for_a_request(gateway):
     count = min(10_000, resource.getrlimit(resource.RLIMIT_NOFILE)[0] - 500) - 1
     held = [socket.create_connection(("127.0.0.1", gateway.port)) for _ in range(count)]
