A ceiling's part fills from the gateway's start; make up says whose address is taken

Need: the first request of a customer with a ceiling was always refused, however long the gateway had run, as its part began to fill with its account. Gateways that are not its first keeper never forgot such a customer.

Change: rights fill from the gateway's own start; an account is forgotten only once its part is full, so that meeting the customer again neither loses nor creates rights. After a take-back they fill from nothing for all. make up names the setting whose address is taken, and says at once that it starts.

--- a/orchidlane/cli/main.py
+++ b/orchidlane/cli/main.py
@@ -68,8 +68,7 @@
     from .up import run_fleet
 
     with clear_errors():
-        load_fleet(settings)
-    run_fleet(settings, rate, nodes, seconds)
+        run_fleet(settings, rate, nodes, seconds)
 
 
 @main.command("lab-node", hidden=True)
--- a/orchidlane/cli/up.py
+++ b/orchidlane/cli/up.py
@@ -4,18 +4,21 @@
 
 import contextlib
 import signal
+import socket
 import tempfile
 from collections import deque
 
+import click
 import msgspec
 
 from ..config import Duration
-from ..gateway.settings import address, load_fleet
+from ..gateway.settings import Fleet, address, load_fleet
 from ..lab.backing import RealBacking
 from ..lab.day import Day, KindEntry, Runner, make_plan
 from ..loop import BACKGROUND, Loop, RealWorld
 from .screen import Screen
 
+PLACES = ("listen", "peer", "admin", "resp")
 KEPT = 100_000  # tries remembered for the closing line
 FOR_EVER = 365 * 24 * 3600
 KINDS = (
@@ -28,6 +31,8 @@
 def run_fleet(settings: str, rate: float, nodes: int, seconds: int) -> None:
     """Start everything at the addresses of the settings, and show it until Ctrl-C."""
     fleet = load_fleet(settings)
+    _refuse_taken(settings, fleet)
+    click.echo(f"starting {len(fleet.gateways)} gateways and {nodes} stand-in nodes: the screen follows")
     day = Day(
         fleet=settings,
         gateways=len(fleet.gateways),
@@ -65,6 +70,24 @@
                 backing.end()
 
 
+def _refuse_taken(settings: str, fleet: Fleet) -> None:
+    """Say whose address something else has, before anything is started. Raises ValueError."""
+    wanted = [("nodes.list", fleet.nodes.list)]
+    for rank, entry in enumerate(fleet.gateways):
+        wanted += [(f"gateways.{rank}.{name}", getattr(entry, name)) for name in PLACES]
+    for where, at in wanted:
+        datagrams = where.endswith(".peer")
+        with socket.socket(type=socket.SOCK_DGRAM if datagrams else socket.SOCK_STREAM) as probe:
+            if not datagrams:  # connections of an earlier run that fade away are no hindrance
+                probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            try:
+                probe.bind(address(at))
+            except OSError as wrong:
+                raise ValueError(
+                    f"{settings}: {where}: {at}: {wrong.strerror}; does it run already?"
+                ) from None
+
+
 def _run(loop: Loop, runner: Runner, screen: Screen) -> None:
     loop.spawn(screen.show, kind=BACKGROUND, name="screen")
     verdict = runner.run()
--- a/orchidlane/record/dump.py
+++ b/orchidlane/record/dump.py
@@ -19,7 +19,7 @@
 from .codec import FormatError, pack_event, unpack_event
 
 FORMAT = 1
-PLAIN = ("now", "filled", "usual", "budget", "unheard", "allowance")
+PLAIN = ("now", "filled", "born", "usual", "budget", "unheard", "allowance")
 HOST = ("out", "active", "typical")
 ACCOUNT = tuple(field.name for field in dataclasses.fields(Account))
 
@@ -182,7 +182,9 @@
     def gateway(self) -> Gateway:
         made, kept = self.made, self.kept
         for name in PLAIN:
-            value = kept.plain[name]
+            value = (
+                kept.plain[name] if name != "born" else kept.plain.get(name, made.now)
+            )  # older files have none
             setattr(made, name, list(value) if isinstance(value, list | tuple) else value)
         version, numbers, gauss = kept.random
         made.random.setstate((version, tuple(numbers), gauss))
--- a/orchidlane/rules.py
+++ b/orchidlane/rules.py
@@ -57,6 +57,7 @@
     def __init__(self, settings: api.Settings, seed: int, now: int) -> None:
         super().__init__()
         self.s, self.random, self.now, self.filled = settings, random.Random(seed), now, now
+        self.born = now  # from then on, rights fill up for customers that were not met yet, too
         self.rank, self.alone = settings.rank, not settings.may_tell_peers
         self.usual = [START_OF_AIM * c.aim for c in settings.classes]
         self.budget, self.unheard = REPEAT_MOST, 0.0
@@ -271,7 +272,7 @@
     def _account(self, customer: int, plan: int, first: int, size: int, trusted: bool) -> Account:
         account, key = self.accounts.get(customer), (plan, first, max(1, min(size, self.s.gateways)))
         if account is None:
-            account = Account(customer, key, self.s.plans[plan].burst, self.now)
+            account = Account(customer, key, self.s.plans[plan].burst, self.born)
             self.accounts[customer] = account
             self.idle_queue.append(customer)
         elif trusted:  # a request goes before a peer
@@ -466,7 +467,8 @@
             customer = self.idle_queue.popleft()
             self._lift(account := self.accounts[customer])
             plan = self.s.plans[account.plan]
-            full = account.ceiling >= plan.ceiling_burst / account.size and account.room >= plan.burst
+            most = plan.ceiling_burst * self._ceiling_part(account)  # met anew, it has its part
+            full = account.ceiling >= most and account.room >= plan.burst
             if account.out or account.fresh or not full:
                 self.idle_queue.append(customer)
                 continue
--- a/orchidlane/upgrade/tables.py
+++ b/orchidlane/upgrade/tables.py
@@ -131,5 +131,6 @@
     Its counts were told as they grew; of ceilings nobody knows what was lent, so each part fills from
     nothing, as at a start.
     """
+    gateway.born = gateway.now  # those not met yet, too
     for account in gateway.accounts.values():
         account.ceiling = account.asked = 0.0
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -4,6 +4,7 @@
 
 import json
 import os
+import re
 import resource
 import shutil
 import signal
@@ -73,6 +74,17 @@
     assert "Traceback" not in text
 
 
+def test_up_says_whose_address_is_taken(tmp_path):
+    shutil.copytree(MATERIALS, tmp_path / "m")
+    file = tmp_path / "m" / "fleet.cue"
+    with socket.create_server(("127.0.0.1", 0)) as other:
+        port = other.getsockname()[1]
+        file.write_text(re.sub(r"127\.0\.0\.1:8[0-9]{3}", f"127.0.0.1:{port}", file.read_text()))
+        code, text = run("up", str(file))
+    assert code == 2
+    assert text.startswith(f"{file}: nodes.list: 127.0.0.1:{port}: Address already in use")
+
+
 def test_a_bench_days_troubles_are_mapped_or_named():
     machine = {"zone": 0}
     troubles = [
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -269,3 +269,37 @@
         bench.now += SECOND
         granted += len(of(bench.feed(api.TakeArrived(number, 7, 0, 0, 1.0, 0, 1)), api.Grant))
     assert granted == 60
+
+
+def ceiled(bench: Bench, units: float) -> bool:
+    """Whether a take of a customer with a ceiling, in a set of all three gateways, is granted."""
+    event = api.TakeArrived(bench.now, 7, 2, 0, units, 0, 3)
+    return bool(of(bench.feed(event), api.Grant))
+
+
+def test_a_ceilings_part_fills_from_the_gateways_start():
+    """A customer that is met late finds what the whole life has earned; met at once, nothing."""
+    late, soon = Bench(), Bench()
+    assert not ceiled(soon, 1.0)
+    late.now += 60 * SECOND
+    assert ceiled(late, 2.0)  # its part of the ceiling's store is 16 / 6, as another is the first keeper
+
+
+def test_a_customer_that_is_forgotten_and_met_again_neither_loses_nor_gains_rights():
+    for customer in range(3):  # each gateway is the first keeper of one of these
+        bench = Bench()
+        account = bench.gateway._account(customer << 16, 2, 0, 3, trusted=True)
+        account.fresh = False
+        most = 16.0 * bench.gateway._ceiling_part(account)
+        for _ in range(400):
+            bench.now += SECOND // 10
+            if not bench.gateway.accounts:
+                break
+            bench.gateway.now = bench.now
+            bench.gateway._drop_idle()
+            if bench.gateway.accounts:
+                assert account.ceiling < most
+        assert not bench.gateway.accounts  # forgotten as soon as its part is full, and no later
+        again = bench.gateway._account(customer << 16, 2, 0, 3, trusted=True)
+        bench.gateway._lift(again)
+        assert again.ceiling == pytest.approx(most)
