--- a/orchidlane/lab/backing.py
+++ b/orchidlane/lab/backing.py
@@ -2,12 +2,15 @@
 
 from __future__ import annotations
 
+import contextlib
 import os
 import signal
 import socket
 import subprocess
 import sys
 import tempfile
+import threading
+from collections.abc import Callable
 from pathlib import Path
 
 import msgspec
@@ -16,7 +19,7 @@
 from ..gateway.customers import load_customers
 from ..gateway.knowledge import Knowledge
 from ..gateway.program import Program
-from ..gateway.settings import Fleet
+from ..gateway.settings import Fleet, upgrade_address
 from ..gateway.status import ask_status
 from ..loop import Faults as NetFaults
 from ..loop import Loop, Process, RealWorld, SimWorld
@@ -26,6 +29,7 @@
 from .day import SECRET, Day, Plan, Runner, customers_file, make_plan, own_settings
 from .node import Node, NodeSpec
 
+WARM_UP = 120  # requests before any work begins
 END_WITHIN = 15.0  # seconds for a process to end by itself
 
 
@@ -261,3 +265,43 @@
         if folder is not None:
             runner.keep(folder)
         return found[0]
+
+
+def play_while(runner: Runner, work: Callable[[], None]) -> Verdict:
+    """Do the work in a thread of its own while clients ask; the verdict. For real processes.
+
+    The load ends with the work. A successor that an upgrade left serving is nobody child: it is killed.
+    """
+    loop, over = runner.loop, threading.Event()
+    found: list[Verdict] = []
+    left: list[int] = []
+
+    def wait() -> None:
+        try:
+            work()
+        finally:
+            over.set()
+
+    def drive() -> None:
+        while runner.crowd is None or runner.crowd.sent < WARM_UP:
+            loop.sleep(20_000)
+        threading.Thread(target=wait, daemon=True).start()
+        while not over.is_set():
+            loop.sleep(100_000)
+        for entry in runner.plan.fleet.gateways:
+            at = upgrade_address(runner.plan.fleet, entry)
+            status = ask_status(loop, at) if at is not None else None
+            left.extend([status.pid] if status is not None else [])
+        runner.end_load()
+
+    def play() -> None:
+        loop.spawn(drive, process=loop.home)
+        found.append(runner.run())
+
+    try:
+        loop.run(play)
+    finally:
+        for pid in left:
+            with contextlib.suppress(ProcessLookupError):
+                os.kill(pid, signal.SIGKILL)
+    return found[0]
