Upgrade: a client without a request goes on when a returning successor dies

Cause: since RESP commands of a dying successor get a reply, whatever was still held then was taken to be owed one.

Change: an idle client is adopted, as at the take-back. Result: the new test is red without it.

--- a/orchidlane/gateway/handover.py
+++ b/orchidlane/gateway/handover.py
@@ -570,7 +570,10 @@
 
         Where the answer had begun nobody knows how much of it left, so that connection ends.
         """
-        for kept in self.reserve.values():
+        for number, kept in list(self.reserve.items()):
+            if kept.state == "idle":  # it is owed nothing: it goes on with us
+                self._adopt(number)
+                continue
             stream = self.loop.world.adopt_stream(kept.handle)
             if kept.state == "answering":
                 stream.close()
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -22,7 +22,7 @@
 from orchidlane.gateway.knowledge import Knowledge
 from orchidlane.gateway.program import Program
 from orchidlane.gateway.settings import parse_fleet
-from orchidlane.loop import LoopError
+from orchidlane.loop import Expired, LoopError
 from orchidlane.rules import Gateway
 from orchidlane.upgrade import giver, messages, taker
 
@@ -308,6 +308,35 @@
     Upgraded(slow, slow, slow, slow).run(test)
 
 
+def test_a_client_answered_as_its_successor_dies_returning_hears_nothing_more(monkeypatch):
+    """Guards against an answer to a client that is owed none."""
+    send = handover.Channel.send
+
+    def test(house: Upgraded) -> None:
+        def dying(self, message, handle=None) -> None:
+            send(self, message, handle)
+            returning = house.programs[-1].taking.machine.phase is taker.Phase.RETURNING
+            if returning and isinstance(message, messages.Idle) and not message.back:
+                house.world.kill(house.processes[1])
+                house.loop.park()
+
+        house.upgrade()
+        house.until(lambda: len(house.programs) == 2 and house.programs[1] in house.serving())
+        monkeypatch.setattr(handover.Channel, "send", dying)
+        client = house.connect()
+        client.send(GET)
+        house.loop.sleep(4 * MS)
+        house.programs[1].stop()
+        assert house.answer(client)[0] == 200
+        house.until(lambda: house.processes[1].dead and house.programs[0] in house.serving())
+        with pytest.raises(Expired):
+            client.recv(deadline=house.loop.now() + 200 * MS)
+        client.send(GET)
+        assert house.answer(client)[0] == 200
+
+    Upgraded(slow, slow, slow, slow).run(test)
+
+
 POINTS = (*range(1, 21), "Took", "Opened", "Count", "Began", "Answering", "Idle", "Ended", "Pulse", "Release")
 
 
