A successor's command and longest time, and the wait for input, each said once

Found on reading the changes again: both upgrade and roll built a successor's command and its longest time; a read and the wait before one parked in two copies; a roll added up the fleet's earlier answers at each look, which grew with the gateways, and asked twice whether an upgrade is under way; the reader of states and the maker of broken builds each had a special case where a default does.

No behaviour changes.

--- a/orchidlane/cli/roll.py
+++ b/orchidlane/cli/roll.py
@@ -19,8 +19,8 @@
 from ..loop import Loop, RealWorld
 from ..upgrade import roll as decisions
 from .errors import UNUSABLE, clear_errors
+from .upgrade import OWN, successor_command
 
-OWN = (sys.executable, "-m", "orchidlane")
 WAITS = ("/bin/sh", "-c", 'read -r go && exec "$@"', "sh")  # ends by itself if nobody lets it run
 
 
@@ -35,9 +35,8 @@
 
     def prepare(self, rank: int, new: bool) -> int:
         """See ``rolling.Starter``; so are the others."""
-        command = [*shlex.split(self.programs[new]), "gateway", self.settings[rank]]
         started = subprocess.Popen(
-            [*WAITS, *command, "--rank", str(rank), "--take-over"],
+            [*WAITS, *successor_command(self.programs[new], self.settings[rank], rank)],
             stdin=subprocess.PIPE,
             stdout=self.log,
             stderr=self.log,
--- a/orchidlane/cli/upgrade.py
+++ b/orchidlane/cli/upgrade.py
@@ -21,7 +21,13 @@
 LOOK_EVERY = 0.1  # seconds between two looks
 ANSWER_WITHIN = 5_000_000  # microseconds
 WORDS_MOST, WORDS_LINES = 1 << 20, 5  # bytes looked at, lines told of what a failed successor printed
-BEYOND = 30.0  # seconds beyond the terms of the settings
+OWN = (sys.executable, "-m", "orchidlane")
+
+
+def successor_command(program: str, settings: str, rank: int) -> list[str]:
+    """How a successor of a gateway is started; by this very program where none is named."""
+    build = shlex.split(program) or OWN
+    return [*build, "gateway", settings, "--rank", str(rank), "--take-over"]
 
 
 def _ask(path: str) -> messages.Status | None:
@@ -57,16 +63,13 @@
     if only_status:
         click.echo(f"{before.phase}, process {before.pid}, build {before.build}; latest: {before.latest}")
         return
-    command = shlex.split(program) if program else [sys.executable, "-m", "orchidlane"]
-    command += ["gateway", settings, "--rank", str(rank), "--take-over"]
+    command = successor_command(program, settings, rank)
     with open(log_to, "a+b") if log_to else tempfile.TemporaryFile() as log:
         since = log.seek(0, os.SEEK_END)
         started = subprocess.Popen(
             command, stdin=subprocess.DEVNULL, stdout=log, stderr=log, start_new_session=True
         )
-        terms = fleet.upgrade
-        by = time.monotonic() + (terms.warm + terms.trial) / 1e6 + BEYOND
-        outcome = _await(started, at[0], by)
+        outcome = _await(started, at[0], time.monotonic() + fleet.upgrade.most / 1e6)
         click.echo(outcome["told"])
         if not outcome["passed"]:
             _tell_last_words(log, since)
--- a/orchidlane/gateway/rolling.py
+++ b/orchidlane/gateway/rolling.py
@@ -23,7 +23,6 @@
 LOOK_EVERY = 200_000  # microseconds
 LOOKS = 16  # gateways looked at each time, beside none but those under way
 MEASURE = 2_000_000  # over which the load is taken
-BEYOND = 30_000_000  # of an upgrade over its own terms: a start takes a while
 SERVING = "serving"  # the phase of a gateway in which no other process has a part
 
 
@@ -124,9 +123,9 @@
         return Layout(members, tuple(sorted({plan.spread for plan in self.fleet.plans.values()})))
 
     def _terms(self) -> roll.Terms:
-        terms, one = self.fleet.roll, self.fleet.upgrade
+        terms = self.fleet.roll
         limits = Limits(terms.share, terms.set_share, terms.halls, terms.load)
-        return roll.Terms(limits, int(terms.soak), int(one.warm) + int(one.trial) + BEYOND, terms.growth)
+        return roll.Terms(limits, int(terms.soak), self.fleet.upgrade.most, terms.growth)
 
     # -- looks
 
--- a/orchidlane/gateway/settings.py
+++ b/orchidlane/gateway/settings.py
@@ -16,6 +16,7 @@
 
 SCHEMA = Path(__file__).with_name("schema.cue")
 SECRET_LEAST = 16  # bytes
+START_WITHIN = 30_000_000  # microseconds beyond an upgrade's own terms: a process takes a while to start
 PATH_MOST = 107  # bytes of a Unix socket's path, unix(7)
 
 
@@ -130,6 +131,11 @@
     trial: Duration
     silence: Duration
 
+    @property
+    def most(self) -> int:
+        """Microseconds that one upgrade may take in all."""
+        return int(self.warm) + int(self.trial) + START_WITHIN
+
 
 class RestartTerms(msgspec.Struct, frozen=True):
     """See ``#Restart``; the span in microseconds."""
--- a/orchidlane/lab/broken.py
+++ b/orchidlane/lab/broken.py
@@ -18,6 +18,7 @@
     new: str
 
 
+_CRASH = '__import__("os")._exit(9)'
 _STARTED = "        self.channel.send(messages.Started())\n"
 
 
@@ -34,9 +35,9 @@
     "crashes with the listeners": Change(
         "gateway/handover.py",
         "            case taker.Check():\n",
-        "            case taker.Check():\n                os._exit(9)\n",
+        f"            case taker.Check():\n                {_CRASH}\n",
     ),
-    "crashes as it serves": _soon("os._exit(9)"),
+    "crashes as it serves": _soon(_CRASH),
     "fails as it serves": _soon("1 // 0"),  # not a crash: all that it has is ended in order
     "hangs as it serves": _soon('__import__("time").sleep(60)'),
     "refuses everything": Change(
@@ -55,10 +56,7 @@
     text = changed.read_text()
     if change.old not in text:
         raise ValueError(f"{change.file}: the text to be changed is not there")
-    text = text.replace(change.old, change.new, 1)
-    if "os._exit" in change.new:
-        text = text.replace("import contextlib\n", "import contextlib\nimport os\n", 1)
-    changed.write_text(text)
+    changed.write_text(text.replace(change.old, change.new, 1))
     start = folder / "start"
     python = f"PYTHONPATH={folder} exec {sys.executable} -m orchidlane"
     start.write_text(f'#!/bin/sh\ncd {folder} && {python} "$@"\n')
--- a/orchidlane/loop/real.py
+++ b/orchidlane/loop/real.py
@@ -357,8 +357,7 @@
             if data is not None:
                 self.drained = 0 < len(data) < most
                 return data
-            self.wait_read(deadline)
-            self.drained = False
+            self.await_input(deadline)
 
     def await_input(self, deadline: int | None = None) -> None:
         self.wait_read(deadline)
--- a/orchidlane/loop/simulated.py
+++ b/orchidlane/loop/simulated.py
@@ -324,11 +324,7 @@
             data = self.try_recv(most)
             if data is not None:
                 return data
-            self.reader = self.world.loop.current
-            try:
-                self.world.loop.park(deadline)
-            finally:
-                self.reader = None
+            self.await_input(deadline)
 
     def watch(self, task: Task) -> None:
         self.reader = task
--- a/orchidlane/record/dump.py
+++ b/orchidlane/record/dump.py
@@ -181,10 +181,9 @@
 
     def gateway(self) -> Gateway:
         made, kept = self.made, self.kept
+        plain = {"born": kept.plain["now"], **kept.plain}  # older files have none
         for name in PLAIN:
-            value = (
-                kept.plain[name] if name != "born" else kept.plain.get(name, made.now)
-            )  # older files have none
+            value = plain[name]
             setattr(made, name, list(value) if isinstance(value, list | tuple) else value)
         version, numbers, gauss = kept.random
         made.random.setstate((version, tuple(numbers), gauss))
--- a/orchidlane/upgrade/roll.py
+++ b/orchidlane/upgrade/roll.py
@@ -158,6 +158,8 @@
         self.terms = terms
         self.state = state
         self._first: list[Action] = []  # what an event asks for by itself
+        # Of all gateways until the roll began: one alone may have had too little to do.
+        self._usual = Answers(*map(sum, zip(*(one.before for one in state.ones), strict=True)))
 
     def handle(self, now: int, event: Event) -> list[Action]:
         """Take one event, and say what is to be done."""
@@ -200,22 +202,17 @@
     def _seen(self, now: int, seen: Seen) -> None:
         one = self.state.ones[seen.rank]
         one.silent = False
-        if not self._is_under_way(one):
-            one.latest = seen.latest
         if self._is_under_way(one):
             return self._follow(now, seen, one)
+        one.latest = seen.latest
         sick = self._why_sick(one, seen)
         if sick is not None:
             self._harm(f"{self._name(seen.rank)} {sick}")
 
     def _why_sick(self, one: One, seen: Seen) -> str | None:
         """A new process counts from nothing, an old one goes on from what it had when the roll began."""
-        usual = self._usual()
-        return why_sick(usual, seen.answers.since(one.before) if seen.pid == one.process else seen.answers)
-
-    def _usual(self) -> Answers:
-        """What all gateways answered until the roll began: one alone may have had too little to do."""
-        return Answers(*map(sum, zip(*(one.before for one in self.state.ones), strict=True)))
+        answers = seen.answers.since(one.before) if seen.pid == one.process else seen.answers
+        return why_sick(self._usual, answers)
 
     def _follow(self, now: int, seen: Seen, one: One) -> None:
         """An upgrade under way: it passed, it failed, or it goes on."""
