--- a/orchidlane/loop/real.py
+++ b/orchidlane/loop/real.py
@@ -141,7 +141,7 @@
         self._offset = base  # the monotonic clock is the machine's, so the two processes' clocks are one
 
     def aside(self, work: Callable[[], Any]) -> Any:
-        ours, theirs = socket.socketpair()
+        signs = Signs(self)
         found: list[Any] = []
 
         def run() -> None:
@@ -149,14 +149,13 @@
                 found.append((work(), None))
             except BaseException as error:
                 found.append((None, error))
-            theirs.close()  # wakes the loop
+            signs.hang_up()
 
-        stream = self.adopt_stream(ours)
         threading.Thread(target=run, name="aside", daemon=True).start()
         try:
-            stream.recv()
+            signs.recv()
         finally:
-            stream.close()
+            signs.close()
         value, error = found[0]
         if error is not None:
             raise error
@@ -237,9 +236,9 @@
 
 
 class _Descriptor:
-    """A polled socket, with the tasks that wait to read and to write."""
+    """A polled socket or pipe, with the tasks that wait to read and to write."""
 
-    def __init__(self, world: RealWorld, sock: socket.socket) -> None:
+    def __init__(self, world: RealWorld, sock: Any) -> None:
         self.world = world
         self.sock = sock
         self.number = sock.fileno()
@@ -326,6 +325,37 @@
         self.reader = self.writer = None
 
 
+class Signs(_Descriptor):
+    """Bytes from a signal's handler or another thread, which wake the loop: a pipe.
+
+    A pair of Unix sockets would do, too, but not where only TCP and UDP are known: there its end has no
+    credentials. A pipe is polled alike everywhere.
+    """
+
+    def __init__(self, world: RealWorld) -> None:
+        ours, theirs = os.pipe()
+        os.set_blocking(ours, False)
+        os.set_blocking(theirs, False)
+        self._reading = os.fdopen(ours, "rb", buffering=0)
+        self._writing = os.fdopen(theirs, "wb", buffering=0)
+        super().__init__(world, self._reading)
+
+    @property
+    def writer_number(self) -> int:
+        """The descriptor that takes the bytes."""
+        return self._writing.fileno()
+
+    def recv(self) -> bytes:
+        """What came since the last time, nothing after ``hang_up``; waits for either."""
+        while (data := self._reading.read(4096)) is None:
+            self.wait_read(None)
+        return data
+
+    def hang_up(self) -> None:
+        """No more bytes come. Belongs to whoever writes: a number that it may still use is not closed."""
+        self._writing.close()
+
+
 class RealStream(_Descriptor):
     """A connection, over TCP or a Unix socket."""
 
--- a/orchidlane/loop/signals.py
+++ b/orchidlane/loop/signals.py
@@ -4,10 +4,9 @@
 
 import gc
 import signal
-import socket
 from collections.abc import Callable
 
-from .real import RealWorld
+from .real import RealWorld, Signs
 from .scheduler import CONTROL, Loop, Scope
 
 GARBAGE = (20_000, 20, 50)  # most goes by its count; rare runs keep pauses few
@@ -29,20 +28,23 @@
 def _with_signals(
     loop: Loop, world: RealWorld, handlers: dict[signal.Signals, Callable[[], None]], work: Callable[[], None]
 ) -> None:
-    """Run ``work`` with signals brought to the loop as bytes on a pair of sockets."""
-    ours, theirs = socket.socketpair()
-    theirs.setblocking(False)
+    """Run ``work`` with signals brought to the loop as bytes on a pipe."""
+    signs = Signs(world)
     for number in handlers:
         signal.signal(number, lambda *_: None)
-    signal.set_wakeup_fd(theirs.fileno(), warn_on_full_buffer=False)
-    stream = world.adopt_stream(ours)
+    signal.set_wakeup_fd(signs.writer_number, warn_on_full_buffer=False)
 
     def listen() -> None:
         while True:
-            for number in stream.recv():
+            for number in signs.recv():
                 scope.spawn(handlers[signal.Signals(number)], kind=CONTROL, name="signal")
 
-    with Scope(loop) as scope:
-        scope.spawn(listen, kind=CONTROL, name="signals")
-        work()
-        scope.cancel()
+    try:
+        with Scope(loop) as scope:
+            scope.spawn(listen, kind=CONTROL, name="signals")
+            work()
+            scope.cancel()
+    finally:
+        signal.set_wakeup_fd(-1)
+        signs.close()
+        signs.hang_up()
--- a/tests/test_loop.py
+++ b/tests/test_loop.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import resource
+import subprocess
+import sys
 
 import pytest
 
@@ -216,6 +218,38 @@
     assert play(loop, work) == [499_500]
 
 
+SIGNALLED = """
+import os, signal, sys
+# Where only TCP and UDP are known, a pair of Unix sockets has no credentials and nobody comes to one.
+def refuse(event, arguments):
+    if event == "socket.__new__" and arguments[1] == 1:
+        raise OSError("no Unix sockets here")
+sys.addaudithook(refuse)
+from orchidlane.loop import Loop, RealWorld
+from orchidlane.loop.signals import serve
+world = RealWorld(1)
+loop, told = Loop(world), []
+def work():
+    task = loop.current
+    def tell(name):
+        told.append(name)
+        loop.wake(task)
+    hear["stop"], hear["reload"] = (lambda: tell("stop")), (lambda: tell("reload"))
+    for number, deadline in ((signal.SIGHUP, None), (signal.SIGTERM, loop.now() + 30_000_000)):
+        loop.spawn(os.kill, os.getpid(), number)
+        loop.park(deadline)
+hear = {}
+began = loop.now()
+serve(loop, world, work, lambda: hear["stop"](), lambda: hear["reload"]())
+print(*told, loop.now() - began < 10_000_000)
+"""
+
+
+def test_signals_wake_every_wait_without_a_unix_socket():
+    done = subprocess.run([sys.executable, "-c", SIGNALLED], capture_output=True, text=True, timeout=60)
+    assert (done.stdout, done.stderr) == ("reload stop True\n", "")
+
+
 def test_idle_descriptors_do_not_make_the_poll_spin():
     loop = Loop(RealWorld(1))
 
