No error of one client, of datagrams or of the log ends a gateway, and SIGTERM has an end

Read for it: each place where an error that is not ours ends the program or spins. Found and shown by tests that failed before: - loop/real.py: accept took each error but four for the listener's own and stopped accepting for good (EPROTO, ENETDOWN, EPERM belong to one client); recvfrom tried again at once for ever; TCP_NODELAY on a connection that was reset. - platform/life.py: _end waited for ever and looked every 5 ms. Now what comes is told the time that is left, and what an older request waits for is given up 250 ms before. The main task waits for the signal instead of looking 20 times a second. A failed reload ends nothing; SIGHUP before the loop hears it is ignored. - An address that the process before us still holds is waited for up to 2 s; a log that nobody takes is let go. - platform/config.py, discovery.py: another number of peers than gateways, no zones, null or fractional numbers are served.

--- a/orchidlane/gateway/front.py
+++ b/orchidlane/gateway/front.py
@@ -114,7 +114,9 @@
         self.pass_on: Callable[[Connection], None] | None = None  # gets each connection between two requests
         self.contain: Callable[[str, Exception], None] | None = None  # is told of failures, which end there
         self.watcher: Watcher | None = None  # is told of connections while another process may need them
+        self.last: int | None = None  # no request that comes from now on is waited for longer
         self._accepting: Task
+        self._leaving: Task | None = None  # waits until no connection is left
         self._numbers = loop.now()  # a later process of this gateway numbers on from later
 
     # -- connections
@@ -206,6 +208,20 @@
             connection.stream.close()
             if self.watcher is not None:
                 self.watcher.ended(connection.number)
+        if self._leaving is not None and not self.connections:
+            self.loop.wake(self._leaving)
+
+    def is_left(self, by: int) -> bool:
+        """Wait until no connection is left; False where some are by then."""
+        self._leaving = self.loop.current
+        try:
+            while self.connections:
+                self.loop.park(by)
+        except Expired:
+            return False
+        finally:
+            self._leaving = None
+        return True
 
     def drain(self) -> None:
         """Take no more connections or requests; what is under way goes on."""
@@ -354,6 +370,8 @@
             self._pump(connection, body)
         exchange.arrived = connection.last_recv
         exchange.until = exchange.arrived + exchange.call.patience - self.times.client_margin
+        if self.last is not None:
+            exchange.until = min(exchange.until, self.last)
 
     def _exchange(self, connection: Connection, head: Request, call: Call) -> Exchange:
         task = self.loop.current
--- a/orchidlane/loop/real.py
+++ b/orchidlane/loop/real.py
@@ -28,6 +28,13 @@
 WRITE = select.POLLOUT
 ENDED = select.POLLERR | select.POLLHUP | select.POLLNVAL
 NO_DESCRIPTOR = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)
+NO_LISTENER = (
+    errno.EBADF,
+    errno.EINVAL,
+    errno.ENOTSOCK,
+    errno.EOPNOTSUPP,
+)  # all else is one client's trouble
+PAUSE = 10_000  # microseconds after an error that nobody waits for: one that stays may not spin
 LONGEST_POLL = 1_000  # ms: a poll ends by then, so that a turn's figures stay fresh
 
 
@@ -368,7 +375,8 @@
         self._handles: deque[socket.socket | None] = deque()
         self._peer = _process_behind(sock) if self.is_unix else -1
         if not self.is_unix:
-            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            with contextlib.suppress(OSError):  # reset already: the first read or write tells
+                sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
 
     def try_recv(self, most: int = 65536) -> bytes | None:
         if self.closed:
@@ -503,13 +511,18 @@
                 raise Closed("closed on our side")
             try:
                 sock, peer = self.sock.accept()
-            except (BlockingIOError, ConnectionAbortedError):
+            except BlockingIOError:
                 self.wait_read(deadline)
                 continue
             except OSError as error:
+                if error.errno in NO_LISTENER:
+                    raise Closed(str(error)) from None
                 if error.errno in NO_DESCRIPTOR:
                     raise NotConnected(str(error)) from None
-                raise Closed(str(error)) from None
+                self.world.loop.sleep(
+                    PAUSE
+                )  # accept(2): errors of the connection that came, or of the network
+                continue
             sock.setblocking(False)
             return RealStream(self.world, sock, peer or self.address)
 
@@ -531,8 +544,8 @@
                 return data, sender
             except BlockingIOError:
                 self.wait_read(deadline)
-            except OSError:
-                continue  # a refusal that an earlier send of ours met
+            except OSError:  # a refusal that an earlier send of ours met; one that stays may not spin
+                self.world.loop.sleep(PAUSE)
 
     def send(self, data: bytes, to: Address) -> None:
         if not self.closed:
--- a/orchidlane/loop/signals.py
+++ b/orchidlane/loop/signals.py
@@ -37,7 +37,8 @@
     def listen() -> None:
         while True:
             for number in signs.recv():
-                scope.spawn(handlers[signal.Signals(number)], kind=CONTROL, name="signal")
+                if number in handlers:  # another one says nothing to us
+                    scope.spawn(handlers[signal.Signals(number)], kind=CONTROL, name="signal")
 
     try:
         with Scope(loop) as scope:
--- a/orchidlane/platform/__main__.py
+++ b/orchidlane/platform/__main__.py
@@ -4,6 +4,7 @@
 
 import gc
 import os
+import signal
 import sys
 
 from ..loop import Loop, RealWorld
@@ -14,6 +15,7 @@
 
 def main() -> int:
     """Serve until SIGTERM; 2 and one line where the configuration can't be used."""
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)  # until the loop hears it: by default it would end us
     try:
         path = path_of(os.environ)
         with open(path, "rb") as file:
--- a/orchidlane/platform/config.py
+++ b/orchidlane/platform/config.py
@@ -27,7 +27,7 @@
 
     cores: float
     memory_mb: float
-    sockets: int
+    sockets: float
 
 
 class _Named(msgspec.Struct, frozen=True):
@@ -35,9 +35,9 @@
 
 
 class _Permissions(msgspec.Struct, frozen=True, rename="camel"):
-    idle_close: int = 0
-    connect_timeout: int = 0
-    open_cap: int = 0
+    idle_close: float = 0
+    connect_timeout: float = 0
+    open_cap: float = 0
     retry_after: bool = False
 
 
@@ -50,9 +50,9 @@
 
     classes: tuple[_Named, ...]
     packages: tuple[_Named, ...]
-    zones: tuple[str, ...]
     permissions: _Permissions
-    family_info: _Family
+    zones: tuple[str, ...] = ()
+    family_info: _Family = _Family()
 
 
 class File(msgspec.Struct, frozen=True):
@@ -64,8 +64,8 @@
     seed: str
     limits: Limits
     settings: msgspec.Raw
-    peer_listen: str = ""
-    peers: tuple[str, ...] = ()
+    peer_listen: str | None = None
+    peers: tuple[str, ...] | None = None
     known: ListLine | None = None
 
 
@@ -98,9 +98,7 @@
         seed = int(found.seed, 16)
     except ValueError:
         raise ConfigError(f"{file}: seed: found {found.seed!r}, allowed: hexadecimal digits") from None
-    if module.may_tell_peers and len(found.peers) != module.gateways:
-        raise ConfigError(f"{file}: peers: found {len(found.peers)}, allowed: {module.gateways}")
-    peers = tuple(_address(peer, file, f"peers[{number}]") for number, peer in enumerate(found.peers))
+    peers = tuple(_address(peer, file, f"peers[{number}]") for number, peer in enumerate(found.peers or ()))
     return Config(
         name=found.name,
         listen=_address(found.listen, file, "listen"),
--- a/orchidlane/platform/discovery.py
+++ b/orchidlane/platform/discovery.py
@@ -37,11 +37,11 @@
 
     instance_id: str
     host_port: str
-    zone: str = ""
-    cell: int = 0
+    zone: str | None = None
+    cell: int | None = None
     lifecycle: str = "active"
     weight: float = 1.0
-    started_at_ms: int = 0
+    started_at_ms: float = 0
 
 
 class ListLine(msgspec.Struct, frozen=True):
@@ -137,9 +137,9 @@
         entry = api.ServerEntry(
             server=instance.instance_id.encode(),
             phase=phase,
-            zone=self._number(instance.zone),
-            cell=instance.cell,
-            launched=instance.started_at_ms * 1_000,
+            zone=self._number(instance.zone or ""),
+            cell=instance.cell or 0,
+            launched=int(instance.started_at_ms * 1_000),
             size=instance.weight,
         )
         return entry, place
--- a/orchidlane/platform/life.py
+++ b/orchidlane/platform/life.py
@@ -2,7 +2,9 @@
 
 After SIGTERM clients go on to connect and to use what they have for a while; all that comes then is owed an
 answer. So for ``STAY`` nothing changes but ``GET /up``; then no more connections are taken, those between two
-requests are closed, each answer closes its own, and the end comes once all is answered.
+requests are closed, each answer closes its own, and the end comes once all is answered. The platform kills no
+sooner than ``STAY`` after the longest deadline, of which it counts ``COUNTED`` at most: a request that comes
+meanwhile is told that it has no more time than that, and what an older one still waits for is given up then.
 """
 
 from __future__ import annotations
@@ -26,7 +28,9 @@
 from .terms import terms_of
 
 STAY = 720_000  # microseconds after SIGTERM in which all goes on as before
-LOOK = 5_000  # microseconds between two looks whether all is answered
+COUNTED = 3_000_000  # microseconds: the longest deadline counts as this at most
+SPARE = 250_000  # microseconds before we are killed at which nothing is waited for any more
+BIND_MOST = 2_000_000  # microseconds in which an address that a dead process of ours held may come free
 RETRY = 100_000  # microseconds until a task that failed begins anew
 REPORT = 10_000_000  # microseconds between two lines of the log on what passed
 WATCHES_MOST = 2  # of the list: the one before is followed until the new one speaks
@@ -51,6 +55,8 @@
         self._datagrams: Any = None
         self._watching: list[Task] = []  # the newest last
         self._following: Address = config.discovery
+        self._main: Task | None = None
+        self._last = 0  # when nothing is waited for any more, once we end
 
     def run(self) -> None:
         """The main task."""
@@ -58,8 +64,9 @@
             self.scope = scope
             self._build(scope)
             self._start(scope)
+            self._main = self.loop.current
             while not self.stopping:
-                self.loop.sleep(10 * LOOK)
+                self.loop.park()
             self._end()
             scope.cancel()
         self.log.say("ended")
@@ -70,7 +77,7 @@
         may = config.names.permissions
         reader = Reader(config.settings, config.names)
         self.clients = PlatformClients(
-            reader, may.open_cap or terms.bounds.connections, may.retry_after, lambda: not self.stopping
+            reader, int(may.open_cap) or terms.bounds.connections, may.retry_after, lambda: not self.stopping
         )
         rules = Gateway(config.settings, config.seed, loop.now())
         upstream = Upstream(loop, terms, scope, PlatformNodes(self.tracker, config.settings.report_names))
@@ -85,13 +92,27 @@
         if self.config.known is not None:
             self._take_known()
         if self.config.peer_listen is not None:
-            self._datagrams = self.loop.world.datagrams(self.config.peer_listen)
+            self._datagrams = self._bind(self.loop.world.datagrams, self.config.peer_listen)
             self._spawn(self._hear, kind=PEERS, name="peers")
         self.host.start()
         self._follow(self.config.discovery)
-        self.front.listen(self.loop.world.listen(self.config.listen))
-        scope.spawn(self._report, kind=BACKGROUND, name="report")
+        self.front.listen(self._bind(self.loop.world.listen, self.config.listen))
+        self._spawn(self._report, kind=BACKGROUND, name="report")
         self.log.say(f"serves, {len(self.tracker.nodes)} hosts known")
+        if self.config.settings.may_tell_peers and len(self.config.peers) != self.config.settings.gateways:
+            told = f"{len(self.config.peers)} addresses for {self.config.settings.gateways} gateways"
+            self.log.say(f"peers: {told}, those without one are not told")
+
+    def _bind(self, bind: Callable[[Address], Any], at: Address) -> Any:
+        """A socket at an address. The process before us may not be gone yet; raises OSError after a while."""
+        by = self.loop.now() + BIND_MOST
+        while True:
+            try:
+                return bind(at)
+            except OSError:
+                if self.loop.now() >= by:
+                    raise
+            self.loop.sleep(RETRY)
 
     def _take_known(self) -> None:
         assert self.config.known is not None
@@ -168,11 +189,23 @@
     # -- signals
 
     def stop(self) -> None:
-        """Begin to end."""
+        """Begin to end, once."""
+        if self.stopping:
+            return
         self.stopping = True
+        longest = max((cls.deadline for cls in self.config.settings.classes), default=COUNTED)
+        self._last = self.loop.now() + min(longest, COUNTED) + STAY - SPARE
+        if self._main is not None:
+            self.loop.wake(self._main)
 
     def reload(self) -> None:
         """Another discovery's address counts at once; a file that can't be used changes nothing."""
+        try:
+            self._reload()
+        except Exception as wrong:
+            self.log.contain("reload", wrong)
+
+    def _reload(self) -> None:
         try:
             text = self.loop.world.read_file(self.path)
             if text is None:
@@ -187,8 +220,11 @@
 
     def _end(self) -> None:
         self.log.say("ends")
+        self.front.last = self._last
         self.loop.sleep(STAY)
         self.front.drain()
-        while self.front.connections:
-            self.loop.sleep(LOOK)
+        if not self.front.is_left(self._last):
+            for exchange in list(self.host.exchanges.values()):
+                self.host.overdue(exchange)
+            self.front.is_left(self._last + SPARE // 2)  # for the last answers to be taken
         self._sum_up()
--- a/orchidlane/platform/log.py
+++ b/orchidlane/platform/log.py
@@ -4,6 +4,7 @@
 
 import sys
 from collections.abc import Callable
+from contextlib import suppress
 
 LINES_MOST = 10  # a second
 LINE_MOST = 400  # characters
@@ -31,8 +32,9 @@
         more = f" ({self.left_out} lines left out)" if self.left_out else ""
         self.left_out = 0
         plain = "".join(c if c.isprintable() else "?" for c in text[:LINE_MOST])
-        sys.stdout.write(f"{self.now() / 1e6:.3f} {self.name} {plain}{more}\n")
-        sys.stdout.flush()
+        with suppress(OSError, ValueError):  # a log that nobody takes may not end the gateway
+            sys.stdout.write(f"{self.now() / 1e6:.3f} {self.name} {plain}{more}\n")
+            sys.stdout.flush()
 
     def contain(self, where: str, wrong: Exception) -> None:
         """A failure that ended where it was."""
--- a/orchidlane/platform/terms.py
+++ b/orchidlane/platform/terms.py
@@ -65,15 +65,16 @@
 
 def terms_of(config: Config) -> Terms:
     """What fits the machine."""
-    room = max(8, config.limits.sockets - max(REST, config.limits.sockets // 20))
+    sockets = int(config.limits.sockets)
+    room = max(8, sockets - max(REST, sockets // 20))
     clients = max(4, int(room * CLIENTS_SHARE))
     nodes = max(4, room - clients)
     may = config.names.permissions
-    idle = may.idle_close or 10_000_000
+    idle = int(may.idle_close) or 10_000_000
     return Terms(
         Bounds(connections=clients, node_connections=nodes, all_node_connections=nodes),
         Times(
-            connect=may.connect_timeout or 1_000_000,
+            connect=int(may.connect_timeout) or 1_000_000,
             node_idle=int(idle * IDLE_SHARE),
             unsafe_idle=int(idle * UNSAFE_SHARE),
         ),
--- a/tests/test_loop.py
+++ b/tests/test_loop.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import errno
+import gc
 import resource
 import subprocess
 import sys
@@ -250,6 +252,52 @@
     assert (done.stdout, done.stderr) == ("reload stop True\n", "")
 
 
+class Failing:
+    """A socket whose next calls fail with these errors."""
+
+    def __init__(self, sock, *errors):
+        self.sock, self.errors = sock, list(errors)
+
+    def __getattr__(self, name):
+        if name in ("accept", "recvfrom") and self.errors:
+            raise OSError(self.errors.pop(0), "made to fail")
+        return getattr(self.sock, name)
+
+
+def test_errors_of_one_client_or_of_the_network_do_not_end_accepting():
+    loop = Loop(RealWorld(1))
+
+    def work(log):
+        listener = loop.world.listen(ANY)
+        listener.sock = Failing(listener.sock, errno.EPROTO, errno.ENETDOWN, errno.ECONNABORTED, errno.EPERM)
+        stream = loop.world.connect(listener.address)
+        stream.send(b"hello")
+        log.append(listener.accept(loop.now() + SECOND).recv(deadline=loop.now() + SECOND))
+
+    assert play(loop, work) == [b"hello"]
+
+
+def test_an_error_of_datagrams_that_stays_does_not_spin():
+    loop = Loop(RealWorld(1))
+
+    def work(log):
+        here = loop.world.datagrams(ANY)
+        here.send(b"one", here.address)
+        here.sock = Failing(here.sock, *[errno.ENETDOWN] * 5)
+        others = []
+
+        def other():
+            while not log:
+                others.append(loop.now())
+                loop.sleep(MS)
+
+        loop.spawn(other)
+        log.append(here.recv(loop.now() + SECOND)[0])
+        assert len(others) > 5
+
+    assert play(loop, work) == [b"one"]
+
+
 def test_idle_descriptors_do_not_make_the_poll_spin():
     loop = Loop(RealWorld(1))
 
@@ -276,6 +324,7 @@
     def work(log):
         listener = loop.world.listen(ANY)
         held = []
+        gc.collect()  # what earlier tests left open may not come free meanwhile
         resource.setrlimit(resource.RLIMIT_NOFILE, (80, hard))
         try:
             with pytest.raises(NotConnected):
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -19,12 +19,14 @@
     configuration,
     file,
     instance,
+    settings,
 )
 
 from orchidlane.http1 import header
 from orchidlane.loop import CONTROL
 from orchidlane.platform.config import ConfigError, parse
 from orchidlane.platform.discovery import ListRefused, Tracker
+from orchidlane.platform.log import Log
 from orchidlane.platform.terms import terms_of
 
 
@@ -40,6 +42,12 @@
         stream.send(OK)
 
 
+def silent(house, index, stream):
+    """A host that takes requests and never answers."""
+    while True:
+        house.read_request(index, stream)
+
+
 def says(answer: bytes):
     """A host that gives every request the same answer."""
 
@@ -371,6 +379,66 @@
     run(good, test=test)
 
 
+def test_after_sigterm_nothing_is_waited_for_until_we_are_killed():
+    def test(house):
+        streams = []
+        for wait in (10, 600):  # the second one comes after SIGTERM
+            streams.append(house.connect())
+            streams[-1].send(call(left="5.000"))
+            house.loop.sleep(wait * MS)
+            house.life.stop()
+        stopped = house.loop.now() - 600 * MS
+        assert [house.answer(stream)[0] in (500, 503) for stream in streams] == [True, True]
+        house.until(lambda: house.ended, SECOND)
+        assert house.loop.now() - stopped < 3_700 * MS  # SIGKILL may come then
+
+    classes = [{**cls, "deadline": 5_000_000} for cls in settings()["classes"]]
+    run(silent, test=test, settings=settings(classes=classes))
+
+
+@pytest.mark.parametrize("when", [0, 1, 50, 200])
+def test_sigterm_in_the_midst_of_the_start_ends_it(when):
+    house = PlatformHouse(good)
+
+    def work():
+        process = house.world.start("n0", house._gateway)
+        house.loop.sleep(when * MS)
+        house.until(lambda: hasattr(house, "life"), 10 * MS)
+        house.life.stop()
+        house.until(lambda: house.ended, 2 * SECOND)
+        house.world.kill(process)
+
+    house.loop.run(work)
+
+
+def test_an_address_that_the_process_before_us_still_holds_is_waited_for():
+    house = PlatformHouse(good)
+
+    def work():
+        listener = house.world.listen(("127.0.0.1", 8080))
+        process = house.world.start("n0", house._gateway)
+        house.loop.sleep(500 * MS)
+        listener.close()
+        house.until(lambda: hasattr(house.life.front, "listener"), SECOND)
+        house.life.stop()
+        house.until(lambda: house.ended, 2 * SECOND)
+        house.world.kill(process)
+
+    house.loop.run(work)
+
+
+def test_a_log_that_nobody_takes_ends_nothing(monkeypatch):
+    class Full:
+        def write(self, text):
+            raise BlockingIOError(11, "no room")
+
+    log = Log(lambda: 0, "n0")
+    monkeypatch.setattr(sys, "stdout", Full())
+    log.say("one")
+    monkeypatch.undo()
+    assert log.left_out == 0
+
+
 def test_another_discovery_counts_at_once_and_a_bad_file_changes_nothing():
     def test(house):
         other = Discovery(house, (DISCOVERY[0], 8501))
