Messages tell of closed customers besides; pushes leave room for keepers

And _pay asked for a quarter second's allowance while _hand_on took the last message, so keepers were told last. Lines at fault: rules.py, _hand_on and _pay. Ruled out: the keeper's arithmetic and the loss of 5% (60 gateways have both). Change: pushes leave RESERVE to keepers and answers; room that a message has left tells of six customers closed last. A gateway whose customer's set shrank to itself ended its gossip for good (randrange(0) in _turn): bytes kept as a test.

--- a/orchidlane/rules.py
+++ b/orchidlane/rules.py
@@ -28,7 +28,8 @@
 ANSWER_WITHIN = 200 * MS  # a keeper not heard for so long is asked to answer as soon; else the next is told
 KEEPER_STRIDE = 2_654_435_761  # spreads customers over the gateways of their sets
 KEEPERS = 3  # gateways of a set that are tried
-RESERVE = 0.25  # of a second's messages: what keepers are owed waits then, answers to others do not
+RESERVE = 0.25  # of a second's messages: pushes to whole sets leave so many to keepers and answers
+ALSO_MOST = 6  # closed customers that a message tells of besides, where it has room
 HEAR = 0.1  # weight of the newest answer or silence in the part of the fleet that is unheard
 UNHEARD_LEAST = 0.25  # below it silence is what loss and restarts explain
 
@@ -308,6 +309,10 @@
         limit = max(account.total, account.limit + plan.rate * share * span / SECOND)
         account.limit = min(limit, account.total + burst)
         account.closed = account.room < (REOPEN if account.closed else CLOSE) * burst
+        if not account.closed:
+            self.closed.pop(account.customer, None)
+        elif account.customer not in self.closed:
+            self.closed[account.customer] = None
 
     def _ceiling_part(self, account: Account) -> float:
         """Rule 5: each gateway alone fills its part of the ceiling's store, from nothing at its start. Half
@@ -364,7 +369,7 @@
     def _pay(self) -> None:
         """Guards against more approvals than messages: what a keeper is owed waits for the intake, and goes
         with all else that it is owed. The keeper that waits for longest is told first."""
-        if not self.owed or not self._allowed(1 + RESERVE * self.per_second):
+        if not self.owed or not self._allowed():
             return
         rank = next(iter(self.owed))
         owed = self.owed.pop(rank)
@@ -412,7 +417,8 @@
         done, part = 0, 1 + self.random.randrange(step) if reach else 0
         while done < reach:
             part = min(part, reach - done)
-            self._tell(self._member(account, place + 1 + done), [self._row(account, part - 1)])
+            if self._allowed(1 + RESERVE * self.per_second):
+                self._tell(self._member(account, place + 1 + done), [self._row(account, part - 1)])
             done, part = done + part, step
 
     def _turn(self) -> None:
@@ -423,6 +429,9 @@
         if not self.changed:
             return
         account = self.accounts[next(iter(self.changed))]
+        if account.size == 1:  # its set shrank since: nobody is to be told
+            del self.changed[account.customer]
+            return
         place = self._place(self.rank, account.first)
         rank = self._member(account, place + 1 + self.random.randrange(account.size - 1))
         looked = [self.accounts[customer] for customer in islice(self.changed, LOOK_AT)]
@@ -450,13 +459,24 @@
         for customer, number in asks:
             self.asked.append((self.now, rank, customer, number))
             self.actions.append(api.SetTimer(ANSWER_WITHIN, ASKED))
-        body = messages.pack(self.now // MS, bool(asks), keep, rows)
+        body = messages.pack(self.now // MS, bool(asks), keep, self._also(rank, rows))
         self.actions.append(api.TellPeer(rank, body))
         return True
 
-    def _row(self, account: Account, reach: int, rights: float = 0.0) -> bytes:
+    def _also(self, rank: int, rows: list[bytes]) -> list[bytes]:
+        """Guards against more pushes than messages: the room that a message has left tells of customers that
+        are closed, the latest first, so that the news spreads with all else that is said."""
+        latest = [self.accounts[customer] for customer in islice(reversed(self.closed), LOOK_AT)]
+        for account in latest:
+            self._lift(account)
+        near = (a for a in latest if a.closed and self._place(rank, a.first) < a.size)
+        more = (self._row(a, 0, brief=True) for a in islice(near, ALSO_MOST))
+        return messages.fit((*rows, *more))
+
+    def _row(self, account: Account, reach: int, rights: float = 0.0, brief: bool = False) -> bytes:
+        """One customer's row; a brief one has no counts, its total is enough to close the customer there."""
         self._lift(account)
-        counts = tuple((rank, *account.counts[rank]) for rank in account.news)
+        counts = () if brief else tuple((rank, *account.counts[rank]) for rank in account.news)
         row = messages.Row(account.customer, *account.key, reach, account.room, account.total, rights, counts)
         return messages.pack_row(row, self.now // MS, self.s.gateways)
 
@@ -470,8 +490,10 @@
         for row in message.rows:
             if self._place(self.rank, row.set_first) < row.set_size:
                 account = self._merge(row, event.sender, max(0, age), message.keep)
-                merged.append((account, row.rights if message.keep else 0.0))
                 self._hand_on(account, min(row.reach, account.size - 1))
+                if not (row.counts or row.rights):
+                    continue  # a brief row came along by chance: it asks for nothing
+                merged.append((account, row.rights if message.keep else 0.0))
                 if message.keep:
                     self._keep(account)
         if message.ask and self._allowed():  # rights that are given are off our part
@@ -518,3 +540,4 @@
                 continue
             del self.accounts[customer]
             self.changed.pop(customer, None)
+            self.closed.pop(customer, None)
--- a/tests/test_counts.py
+++ b/tests/test_counts.py
@@ -419,3 +419,63 @@
     slow = heard(plans=(dataclasses.replace(PLAIN, rate=0.5, burst=10.0),))
     let_in(slow, 20)
     assert of(slow.ask(90), api.Refuse)[0].retry_after == 0
+
+
+def closed(bench: Bench, customer: int, size: int) -> None:
+    """Let a peer tell that a customer has spent nearly all."""
+    say(bench, 1, told([(1, TICK - 9, 9.0)], room=1.0, total=9.0, customer=customer, size=size))
+
+
+def test_every_message_tells_of_the_customers_that_closed_last():
+    bench = Bench(gateways=200)
+    for customer in range(100, 120):
+        closed(bench, customer, 200)
+    let_in(bench, 1, customer=7, size=200)
+    ((peer, message),) = bodies(bench.log)
+    also = [row.customer for row in message.rows if row.customer != 7]
+    assert also == [119, 118, 117, 116, 115, 114]
+    other = Bench(rank=peer, gateways=200)
+    other.feed(api.PeerMessage(0, of(bench.log, api.TellPeer)[0].body))
+    assert let_in(other, 5, start=50, customer=119, size=200) == 0
+    assert 119 not in other.gateway.changed  # it is not told as if it had been approved there
+
+
+def test_what_came_along_is_neither_answered_nor_pushed_on():
+    bench = Bench(gateways=200)
+    row = told([], room=1.0, total=9.0, customer=8, size=200)
+    say(bench, 1, told([(1, TICK - 9, 1.0)], total=1.0, size=200), row, ask=True, keep=True)
+    sent = bodies(bench.log)
+    assert len(sent) == 1  # the answer alone: a customer that closed by it is nobody's to push here
+    assert [r.customer for r in sent[0][1].rows if r.counts] == [7]
+
+
+def test_customers_that_are_open_again_are_told_no_more():
+    bench = Bench(gateways=200)
+    closed(bench, 100, 200)
+    bench.now += 10 * SECOND
+    let_in(bench, 1, customer=7, size=200)
+    assert [row.customer for row in bodies(bench.log)[0][1].rows] == [7]
+    assert not bench.gateway.closed
+
+
+def test_pushes_to_whole_sets_leave_messages_to_keepers():
+    """Guards against the many closing at once in a large fleet: keepers were told nothing then."""
+    bench = Bench(gateways=200, peer_intake=40.0)
+    for customer in range(100, 200):
+        row = told([(1, TICK - 9, 9.0)], room=1.0, total=9.0, customer=customer, reach=150, size=200)
+        say(bench, 1, row)
+    before = len(of(bench.log, api.TellPeer))
+    assert let_in(bench, 6, customer=7, size=200) == 1
+    for customer in range(300, 306):
+        let_in(bench, 1, start=customer, customer=customer, size=200)
+    assert len(of(bench.log, api.TellPeer)) - before == 7
+
+
+def test_a_set_that_shrank_to_one_gateway_ends_no_turn():
+    """The bytes of a rude client: a usual customer's name with a set of one, while others are owed news."""
+    bench = heard()
+    let_in(bench, 1)
+    bench.ask(50, size=1)
+    bench.run(SECOND)
+    let_in(bench, 1, start=60, customer=9)
+    assert bodies(bench.run(SECOND))
