A module's state as bytes holds which customers closed last

Change: the table goes with the state (a field at the end, older files have none) and over an upgrade; views leave it out.

--- a/orchidlane/gateway/probe.py
+++ b/orchidlane/gateway/probe.py
@@ -107,6 +107,7 @@
             accounts=[row],
             idle_queue=[one for one in header.state.idle_queue if one == number],
             changed=[one for one in header.state.changed if one == number],
+            closed=[one for one in header.state.closed if one == number],
             requests=[],
             detached=[],
             asked=[],
@@ -142,7 +143,9 @@
     header = reader.header
     check_build(header.build)
     state = msgspec.structs.replace(header.state, accounts=[], requests=[], detached=[], idle_queue=[])
-    gateway = record.restore(header.module_settings(), msgspec.structs.replace(state, changed=[], asked=[]))
+    gateway = record.restore(
+        header.module_settings(), msgspec.structs.replace(state, changed=[], closed=[], asked=[])
+    )
     gateway.now = _moment(header)
     found: dict[str, PlanCounts] = defaultdict(PlanCounts)
     for row in reader.accounts():
--- a/orchidlane/record/dump.py
+++ b/orchidlane/record/dump.py
@@ -45,6 +45,7 @@
     requests: list[list[Any]]
     detached: list[list[Any]]  # attempts whose request has ended
     owed: list[tuple[int, list[tuple[int, int]]]] = []  # rank, its customers and which keeper it is tried as
+    closed: list[int] = []
 
 
 def dump(gateway: Gateway, customers: list[int] | None = None, accounts: bool = True) -> Dump:
@@ -92,6 +93,7 @@
         requests=requests,
         detached=detached,
         owed=[(rank, list(owed.items())) for rank, owed in gateway.owed.items()] if whole else [],
+        closed=list(gateway.closed) if whole else [one for one in gateway.closed if one in kept],
     )
 
 
@@ -190,10 +192,10 @@
         version, numbers, gauss = kept.random
         made.random.setstate((version, tuple(numbers), gauss))
         made.accounts = {row[0]: load_account(row) for row in kept.accounts}
-        for customer in (*kept.idle_queue, *kept.changed):
+        for customer in (*kept.idle_queue, *kept.changed, *kept.closed):
             made.accounts[customer]  # one that is not there does not fit: the module would stumble over it
         made.idle_queue = deque(kept.idle_queue)
-        made.changed = dict.fromkeys(kept.changed)
+        made.changed, made.closed = dict.fromkeys(kept.changed), dict.fromkeys(kept.closed)
         made.heard = dict(kept.heard)
         made.owed = {rank: dict(owed) for rank, owed in kept.owed}
         made.asked = deque(tuple(row) for row in kept.asked)  # type: ignore[misc]
--- a/orchidlane/upgrade/tables.py
+++ b/orchidlane/upgrade/tables.py
@@ -102,7 +102,7 @@
 def module_at_moment(gateway: Gateway) -> Dump:
     """All of a module but its accounts and what is out."""
     told = dump(gateway, customers=[])
-    plain = {**told.plain, "changed": list(gateway.changed)}
+    plain = {**told.plain, "changed": list(gateway.changed), "closed": list(gateway.closed)}
     return msgspec.structs.replace(told, plain=plain)
 
 
@@ -113,13 +113,14 @@
 
     Raises FormatError, KeyError.
     """
-    usual, changed = told.plain["usual"], told.plain["changed"]
+    usual, changed, closed = told.plain["usual"], told.plain["changed"], told.plain.get("closed", ())
     gateway = restore(settings, told)
     fresh = Gateway(settings, 0, gateway.now).usual
     gateway.usual = [fresh[i] if old is None else usual[old] for i, old in enumerate(kinds)]
     gateway.accounts = Accounts(accounts)
     gateway.idle_queue.extend(accounts)  # the order of looks is free
     gateway.changed = {customer: None for customer in changed if customer in accounts}
+    gateway.closed = {customer: None for customer in closed if customer in accounts}
     for host in gateway.hosts.values():
         host.out = 0
     return gateway
