A time-out at a server that answered nobody meanwhile tells nothing of the others

So the fleet's mark refuses: every attempt that timed out in the lost zone taught it eight times the usual time, and in a large fleet each gateway has one attempt out at a server. Line at fault: rules.py, _learn, which took a time-out for a slow answer whoever was silent. Ruled out: quotas (refused with room), zone and server marks of failures (they move the choice alone). Change: such a time-out teaches its server, not the mark of all.

--- a/orchidlane/rules.py
+++ b/orchidlane/rules.py
@@ -270,8 +270,10 @@
         if event.outcome in (Outcome.SERVED, Outcome.ERROR, Outcome.FULL):
             host.active = self.now
         if event.outcome in (Outcome.SERVED, Outcome.TIMED_OUT):
-            # Guards against a jam of all servers, where a gateway meets each of them too seldom to learn.
-            for known in (host, self.met):
+            # Guards against a jam of all servers, where a gateway meets each of them too seldom to learn. A
+            # server that answered nobody meanwhile may be gone, and tells nothing of the others.
+            silent = event.outcome is Outcome.TIMED_OUT and host.active <= attempt.sent
+            for known in (host,) if silent else (host, self.met):
                 known.slow += LEARN * (min(SLOW_MOST, event.took / self.usual[kind]) - known.slow)
             host.typical += LEARN * (attempt.load - host.typical)
             # Capped, so that in a jam an idle server still seems worth a try and the end of it is noticed.
--- a/tests/test_servers.py
+++ b/tests/test_servers.py
@@ -84,6 +84,18 @@
     assert tried < 20
 
 
+def test_servers_that_answer_nobody_do_not_make_all_others_look_slow():
+    """A lost zone: time-outs there refused nine in ten requests in all zones (zone+mass, seed 3)."""
+    bench = Bench(servers=200)
+    for request in range(1, 40):
+        serve(bench, request, lambda _: 60_000)
+    sent = [of(bench.ask(r, customer=r, left=2 * SECOND), api.Send)[0].server for r in range(100, 120)]
+    bench.run(2 * SECOND)
+    for request, server in zip(range(100, 120), sent, strict=True):
+        bench.outcome(request, server, Outcome.TIMED_OUT, took=2 * SECOND)
+    assert all(serve(bench, request, lambda _: 60_000) for request in range(200, 220))
+
+
 def test_when_all_servers_fail_none_is_put_aside_for_good():
     bench = Bench(servers=3)
     for request in range(1, 30):
