Rows that tell nothing new are passed over, and only as many are made as a message takes

Lines at fault: rules.py, _also brought 32 accounts up to date and made six rows before it looked for room; _peer_message merged each row that came along, most of them again. Change: a brief row without news is passed over, rows are made until six are found.

--- a/orchidlane/rules.py
+++ b/orchidlane/rules.py
@@ -469,11 +469,9 @@
         """Guards against more pushes than messages: the room that a message has left tells of customers that
         are closed, the latest first, so that the news spreads with all else that is said."""
         latest = [self.accounts[customer] for customer in islice(reversed(self.closed), LOOK_AT)]
-        for account in latest:
-            self._lift(account)
-        near = (a for a in latest if a.closed and self._place(rank, a.first) < a.size)
-        more = (self._row(a, 0, brief=True) for a in islice(near, ALSO_MOST))
-        return messages.fit((*rows, *more))
+        near = (a for a in latest if self._place(rank, a.first) < a.size)
+        more = (row for a in near if (row := self._row(a, 0, brief=True)) and a.closed)  # lifted by its row
+        return messages.fit((*rows, *islice(more, ALSO_MOST)))
 
     def _row(self, account: Account, reach: int, rights: float = 0.0, brief: bool = False) -> bytes:
         """One customer's row; a brief one has no counts, its total is enough to close the customer there."""
@@ -490,6 +488,9 @@
         self.heard[event.sender] = self.now
         merged = []
         for row in message.rows:
+            known = None if row.counts or row.rights else self.accounts.get(row.customer)
+            if known and not known.fresh and row.total <= known.total:
+                continue  # a brief row that tells nothing new: most are heard more than once
             if self._place(self.rank, row.set_first) < row.set_size:
                 account = self._merge(row, event.sender, max(0, age), message.keep)
                 self._hand_on(account, min(row.reach, account.size - 1))
--- a/tests/test_counts.py
+++ b/tests/test_counts.py
@@ -449,6 +449,18 @@
     assert [r.customer for r in sent[0][1].rows if r.counts] == [7]
 
 
+def test_a_brief_row_that_tells_nothing_new_costs_nothing():
+    """Most rows that come along are heard more than once (150 microseconds an event with 264 gateways)."""
+    bench = Bench(gateways=200)
+    closed(bench, 100, 200)
+    merged, merge = [], bench.gateway._merge
+    bench.gateway._merge = lambda row, *rest: merged.append(row.customer) or merge(row, *rest)
+    for total in (9.0, 8.0, 9.5):
+        say(bench, 2, told([], room=0.5, total=total, customer=100, size=200))
+    assert merged == [100]
+    assert bench.gateway.accounts[100].total == 9.5
+
+
 def test_customers_that_are_open_again_are_told_no_more():
     bench = Bench(gateways=200)
     closed(bench, 100, 200)
