The wait for the last client is named as one; accept's errors are explained where they are listed

Need: Front.is_left read as a question and waited, and two comments of loop/real.py stood behind wrapped lines. Change: it is wait_left; the comments stand above NO_LISTENER. No behaviour changes.

Seen besides and left for a change that is played: rules.py tells a brief row by 'row.counts or row.rights' in two places; program.py and handover.py look for the last client every few milliseconds and could call wait_left.

--- a/orchidlane/gateway/front.py
+++ b/orchidlane/gateway/front.py
@@ -211,8 +211,8 @@
         if self._leaving is not None and not self.connections:
             self.loop.wake(self._leaving)
 
-    def is_left(self, by: int) -> bool:
-        """Wait until no connection is left; False where some are by then."""
+    def wait_left(self, by: int) -> bool:
+        """Wait until all clients have left; False where some have not by then."""
         self._leaving = self.loop.current
         try:
             while self.connections:
--- a/orchidlane/loop/real.py
+++ b/orchidlane/loop/real.py
@@ -28,12 +28,8 @@
 WRITE = select.POLLOUT
 ENDED = select.POLLERR | select.POLLHUP | select.POLLNVAL
 NO_DESCRIPTOR = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)
-NO_LISTENER = (
-    errno.EBADF,
-    errno.EINVAL,
-    errno.ENOTSOCK,
-    errno.EOPNOTSUPP,
-)  # all else is one client's trouble
+# The listener's own errors of accept(2); all others are of the connection that came, or of the network
+NO_LISTENER = (errno.EBADF, errno.EINVAL, errno.ENOTSOCK, errno.EOPNOTSUPP)
 PAUSE = 10_000  # microseconds after an error that nobody waits for: one that stays may not spin
 LONGEST_POLL = 1_000  # ms: a poll ends by then, so that a turn's figures stay fresh
 
@@ -519,9 +515,7 @@
                     raise Closed(str(error)) from None
                 if error.errno in NO_DESCRIPTOR:
                     raise NotConnected(str(error)) from None
-                self.world.loop.sleep(
-                    PAUSE
-                )  # accept(2): errors of the connection that came, or of the network
+                self.world.loop.sleep(PAUSE)
                 continue
             sock.setblocking(False)
             return RealStream(self.world, sock, peer or self.address)
--- a/orchidlane/platform/life.py
+++ b/orchidlane/platform/life.py
@@ -223,8 +223,8 @@
         self.front.last = self._last
         self.loop.sleep(STAY)
         self.front.drain()
-        if not self.front.is_left(self._last):
+        if not self.front.wait_left(self._last):
             for exchange in list(self.host.exchanges.values()):
                 self.host.overdue(exchange)
-            self.front.is_left(self._last + SPARE // 2)  # for the last answers to be taken
+            self.front.wait_left(self._last + SPARE // 2)  # for the last answers to be taken
         self._sum_up()
