Fleet versions: a ledger that a quorum agrees on, adopted by every gateway, and undo

Need: a reload by signal changes one gateway at a time, nothing says that the fleet disagrees, no prior version is kept. Seen on the program before: costs edited, SIGHUP to one of three gateways: generations 2, 1, 1, all `ready`.

Change: package change/ without I/O: contents named by BLAKE3, one register by CASPaxos with seats that are rank and store, the ledger's steps fenced by term, votes and certificates, who leads and what is next, pull gossip with a lease that counts from the question, what may serve side by side, undo as composition of edits. Shell in gateway/versions; `orchidlane change`; answers carry Orchidlane-Version.

--- a/orchidlane/cli/main.py
+++ b/orchidlane/cli/main.py
@@ -19,6 +19,7 @@
 from ..gateway.settings import load_fleet, schema
 from ..routes import Match, build, load_description
 from . import tools
+from .change import change
 from .errors import clear_errors
 from .roll import roll
 from .upgrade import upgrade
@@ -47,12 +48,13 @@
     "--record", "folder", type=click.Path(file_okay=False, exists=True), help="Record traffic here."
 )
 @click.option("--take-over", is_flag=True, help="Go on in place of the process that runs now; see `upgrade`.")
-def gateway(settings: str, rank: int, folder: str | None, take_over: bool) -> None:
+@click.option("--ready-fd", type=int, default=-1, help="A line is written to this descriptor once it serves.")
+def gateway(settings: str, rank: int, folder: str | None, take_over: bool, ready_fd: int) -> None:
     """Run one gateway of the fleet until SIGTERM."""
     from .run import run_gateway
 
     with clear_errors():
-        failed = run_gateway(load_fleet(settings), rank, folder, take_over)
+        failed = run_gateway(load_fleet(settings), rank, folder, take_over, ready_fd)
     if failed:
         click.echo(f"the take-over ended: {failed}", err=True)
         sys.exit(1)
@@ -200,6 +202,7 @@
     tools.replay_command,
     tools.state,
     tools.top,
+    change,
     roll,
     upgrade,
 ):
--- a/orchidlane/cli/run.py
+++ b/orchidlane/cli/run.py
@@ -3,33 +3,46 @@
 from __future__ import annotations
 
 import contextlib
+import os
 from pathlib import Path
 
 import msgspec
 
 from ..gateway.program import Program
 from ..gateway.settings import Fleet, read_secret
+from ..gateway.versions.settings import check_terms
 from ..lab.node import Node, NodeSpec
 from ..loop import Loop, RealWorld
 from ..loop.signals import serve
 
 
-def run_gateway(fleet: Fleet, rank: int, folder: str | None = None, take_over: bool = False) -> str:
+def run_gateway(
+    fleet: Fleet, rank: int, folder: str | None = None, take_over: bool = False, ready_fd: int = -1
+) -> str:
     """Run one gateway: SIGTERM and SIGINT drain it, SIGHUP reloads description and customers.
 
     With ``take_over`` from the process that runs now; says why nothing became of that, empty if all went
-    well.
+    well. A line "ready" is written to ``ready_fd`` once requests are served.
     """
     if not 0 <= rank < len(fleet.gateways):
         raise ValueError(f"--rank: found {rank}, allowed: 0 to {len(fleet.gateways) - 1}")
     secret = read_secret(fleet.peers.secret_file)
     world = RealWorld()
     loop = Loop(world)
+    check_terms(fleet)
     program = Program(loop, fleet, rank, secret, record_to=folder, take_over=take_over)
+    if ready_fd >= 0:
+        program.when_ready = lambda: _say_ready(ready_fd)
     serve(loop, world, program.run, program.stop, program.reload)
     return program.failed
 
 
+def _say_ready(number: int) -> None:
+    with contextlib.suppress(OSError):  # whoever waited is gone
+        os.write(number, b"ready\n")
+        os.close(number)
+
+
 def run_node(path: str) -> None:
     """Run one stand-in node until it is killed."""
     spec = msgspec.json.decode(Path(path).read_bytes(), type=NodeSpec)
--- a/orchidlane/gateway/admin.py
+++ b/orchidlane/gateway/admin.py
@@ -9,13 +9,13 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Iterator
-from typing import Any
+from typing import Any, Protocol
 from urllib.parse import unquote_to_bytes
 
 import msgspec
 
 from .. import http1, record
-from ..http1 import Malformed, Request
+from ..http1 import Data, End, Malformed, Request
 from ..loop import BACKGROUND, Closed, Expired, Listener, Loop, Scope, Stream, Task
 from .customers import Customer
 from .door import accept_clients
@@ -26,9 +26,20 @@
 
 PATIENCE = 5_000_000  # microseconds for a question, and for each piece of an answer to be taken
 STATE_WITHIN = 30_000_000  # microseconds for the whole state to be read
+CALLS_MOST = 16  # to the desk at once: each may hold a content
+DESK = b"/change/"
 Names = tuple[tuple[str, ...], tuple[str, ...]]  # classes, plans
 
 
+class Desk(Protocol):
+    """Answers sealed calls about the fleet's versions."""
+
+    body_most: int  # bytes
+
+    def answer(self, method: str, target: bytes, seal: bytes | None, body: bytes) -> tuple[int, bytes]:
+        """Status and body of one call."""
+
+
 class StateFrames:
     """A segment's head as of now, and the frames of its accounts, each made when it is asked for.
 
@@ -85,8 +96,10 @@
         about: Callable[[], dict[str, Any]],
         healthy: Callable[[], bool],
         names: Callable[[], Names],
+        desk: Desk | None = None,
     ) -> None:
         self.loop = loop
+        self.desk = desk
         self.name = name
         self.host = host
         self.metrics = metrics
@@ -96,6 +109,7 @@
         self.names = names
         self.telling = False  # the whole state, to someone
         self._accepting: Task | None = None
+        self._calls = 0
 
     def listen(self, listener: Listener, scope: Scope) -> None:
         """Take questions from a listener, as background work."""
@@ -120,7 +134,9 @@
                 if parser.ended:
                     return
             assert isinstance(event, Request)
-            if event.target == b"/state" and not self.telling:
+            if event.target.startswith(DESK) and self.desk is not None:
+                self._call(stream, parser, event, self.desk)
+            elif event.target == b"/state" and not self.telling:
                 self._tell_state(stream)
             else:
                 self._tell(stream, *self._answer(event.target))
@@ -129,11 +145,32 @@
         finally:
             stream.close()
 
+    def _call(self, stream: Stream, parser: http1.RequestParser, head: Request, desk: Desk) -> None:
+        """A call to the desk, within its bounds."""
+        if self._calls >= CALLS_MOST or (head.length is not None and head.length > desk.body_most):
+            return self._tell(stream, 503, b"too many calls, or one that is too large\n")
+        self._calls += 1
+        try:
+            body, by = bytearray(), self.loop.now() + STATE_WITHIN
+            while not isinstance(event := parser.next_event(), End):
+                if isinstance(event, Data):
+                    body += event.data
+                    if len(body) > desk.body_most:
+                        return self._tell(stream, 413, b"too large\n")
+                elif event is None:
+                    parser.receive(stream.recv(deadline=min(by, self.loop.now() + PATIENCE)))
+                    if parser.ended:
+                        return None
+            seal = http1.header(head.headers, b"orchidlane-seal")
+            self._tell(stream, *desk.answer(head.method, head.target, seal, bytes(body)))
+        finally:
+            self._calls -= 1
+
     def _tell(self, stream: Stream, status: int, body: bytes) -> None:
         kind = (b"content-type", b"text/plain; charset=utf-8")
         length = (b"content-length", b"%d" % len(body))
         head = http1.response_head(status, [kind, length, (b"connection", b"close")])
-        stream.send(head + body, self.loop.now() + PATIENCE)
+        stream.send(head + body, self.loop.now() + STATE_WITHIN)
 
     def _answer(self, target: bytes) -> tuple[int, bytes]:
         if target == b"/metrics":
--- a/orchidlane/gateway/customers.py
+++ b/orchidlane/gateway/customers.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import hashlib
+from collections.abc import Iterable
 from dataclasses import dataclass
 
 import msgspec
@@ -60,6 +61,10 @@
     def __len__(self) -> int:
         return len(self._by_digest)
 
+    def all(self) -> Iterable[Customer]:
+        """Each customer once."""
+        return self._by_number.values()
+
     def of_key(self, key: bytes) -> Customer | None:
         """The customer of a key as it came with a request."""
         return self._by_digest.get(hashlib.sha256(key).digest())
--- a/orchidlane/gateway/datagram.py
+++ b/orchidlane/gateway/datagram.py
@@ -19,7 +19,7 @@
 MAC = 16  # bytes
 BODY_MOST = 256  # bytes
 SIZE_MOST = HEAD.size + BODY_MOST + MAC
-MODULE, LIMITS = 0, 1  # kinds: the module's messages, and the limits' questions and answers
+MODULE, LIMITS, CHANGE = 0, 1, 2  # kinds: the module's messages, the limits', the fleet's versions'
 WINDOW = 1024  # sequence numbers behind the latest that may still come
 AHEAD_MOST = 60_000_000  # microseconds: a life that begins so far after our clock is not believed
 
@@ -73,15 +73,13 @@
 class Inbox:
     """What one gateway takes from the others; ``refused`` counts the rest by reason."""
 
-    def __init__(
-        self, secret: bytes, rank: int, gateways: int, now: int, intake: float, limits_intake: float
-    ) -> None:
+    def __init__(self, secret: bytes, rank: int, gateways: int, now: int, *intakes: float) -> None:
         self.secret = secret
         self.rank = rank
         self.gateways = gateways
         self.refused: dict[str, int] = {}
         self._lives: dict[int, _Life] = {}
-        self._buckets = [_Bucket(intake, intake, now), _Bucket(limits_intake, limits_intake, now)]
+        self._buckets = [_Bucket(intake, intake, now) for intake in intakes]  # by kind
 
     def take(self, now: int, data: bytes) -> tuple[int, int, bytes] | None:
         """Kind, sender and body of a datagram that counts, at clock ``now``; None for all others."""
@@ -96,7 +94,7 @@
         if not HEAD.size + MAC <= len(data) <= SIZE_MOST:
             return "size"
         magic, form, kind, sender, receiver, incarnation, sequence = HEAD.unpack_from(data)
-        if (magic, form) != (MAGIC, FORMAT) or kind not in (MODULE, LIMITS):
+        if (magic, form) != (MAGIC, FORMAT) or kind >= len(self._buckets):
             return "format"
         if receiver != self.rank or sender == self.rank or sender >= self.gateways:
             return "address"
--- a/orchidlane/gateway/knowledge.py
+++ b/orchidlane/gateway/knowledge.py
@@ -21,6 +21,7 @@
     customers: Customers
     log: Any
     log_requests: bool
+    version: str = ""  # of the fleet, where it has versions
 
     def log_answer(self, exchange: Exchange, answer: Answer, span: int) -> None:
         """One line for a request, if the settings ask for it; never a key, target or body."""
@@ -31,6 +32,7 @@
                 request=exchange.number,
                 customer=call.customer,
                 operation=call.match.operation.name,
+                **({"version": call.version} if call.version else {}),
                 kind=answer.kind,
                 status=answer.status,
                 attempts=exchange.sends,
@@ -38,12 +40,20 @@
             )
 
 
-def read_knowledge(world: World, fleet: Fleet, number: int, log: Any) -> Knowledge:
-    """Description and customers as the files say now. Raises DescriptionError, CustomersError, OSError."""
-    text = _read(world, fleet.description)
-    generation = build(load_description(text, fleet.description), fleet.description, number)
-    customers = load_customers(_read(world, fleet.customers), fleet.customers, fleet)
-    return Knowledge(generation, customers, log, fleet.log_requests)
+class UnfitContent(Exception):
+    """Contents that no knowledge can be made of; says where and why."""
+
+
+def read_sources(world: World, fleet: Fleet) -> tuple[bytes, bytes]:
+    """Description and customers as the files say now. Raises OSError."""
+    return _read(world, fleet.description), _read(world, fleet.customers)
+
+
+def make_knowledge(rules: bytes, customers: bytes, fleet: Fleet, number: int, log: Any) -> Knowledge:
+    """What a description and customers mean. Raises DescriptionError, CustomersError."""
+    generation = build(load_description(rules, fleet.description), fleet.description, number)
+    known = load_customers(customers, fleet.customers, fleet)
+    return Knowledge(generation, known, log, fleet.log_requests)
 
 
 def _read(world: World, path: str) -> bytes:
--- a/orchidlane/gateway/openapi.py
+++ b/orchidlane/gateway/openapi.py
@@ -14,7 +14,7 @@
 from ..loop import Address
 from ..routes import Match, Miss, Operation
 from ..routes.generation import give_up_after
-from .answers import failed, problem, refused
+from .answers import HARMLESS, failed, problem, refused
 from .customers import Customer
 from .exchange import Answer, Exchange
 from .nodelist import ListTracker
@@ -36,6 +36,7 @@
 
     match: Match
     by: Customer
+    version: str = ""  # that it came under
 
 
 def call_of(exchange: Exchange) -> OperationCall:
@@ -50,16 +51,24 @@
     whole_first = False
 
     def __init__(
-        self, fleet: Fleet, knowledge: Callable[[], Knowledge], host: Callable[[], Host], metrics: Metrics
+        self,
+        fleet: Fleet,
+        knowledge: Callable[[], Knowledge],
+        host: Callable[[], Host],
+        metrics: Metrics,
+        why_not: Callable[[], str] = str,
     ) -> None:
         self.fleet = fleet
         self.knowledge = knowledge
         self.host = host
         self.metrics = metrics
+        self.why_not = why_not  # requests may be served; "" where they may
 
     def understand(self, head: Request, under_way: int) -> Call | Answer:
         """Operation, customer and patience of a request, or why there are none."""
         knowledge = self.knowledge()
+        if why := self.why_not():
+            return problem(503, f"Not served: {why}. {HARMLESS}", ((b"retry-after", b"1"),))
         generation = knowledge.generation
         match = generation.match(head.method, head.target)
         if isinstance(match, Miss):
@@ -89,6 +98,7 @@
             target=_upstream_target(head.target, match),
             match=match,
             by=customer,
+            version=knowledge.version,
         )
 
     def wrong(self, status: int, detail: str) -> Answer:
@@ -116,8 +126,11 @@
         """Nothing is held for a request."""
 
     def _add_figures(self, exchange: Exchange, answer: Answer) -> None:
-        """What is left of the quota (draft-ietf-httpapi-ratelimit-headers), where it is known."""
-        host, customer = self.host(), call_of(exchange).by
+        """What is left of the quota (draft-ietf-httpapi-ratelimit-headers), where known; the version."""
+        host, call = self.host(), call_of(exchange)
+        customer = call.by
+        if call.version:
+            answer.headers.append((b"orchidlane-version", call.version.encode()))
         account = host.rules.accounts.get(customer.number)
         plan = host.settings.plans[customer.plan]
         if account is None or not plan.rate:
--- a/orchidlane/gateway/program.py
+++ b/orchidlane/gateway/program.py
@@ -17,11 +17,11 @@
 from ..upgrade import giver, messages, taker
 from . import front as http_front
 from .admin import Admin, Names
-from .datagram import LIMITS, MODULE, SIZE_MOST, Inbox, seal
+from .datagram import CHANGE, LIMITS, MODULE, SIZE_MOST, Inbox, seal
 from .front import Front
 from .handover import GivingSide, Lent, TakingSide
 from .host import Host
-from .knowledge import Knowledge, read_knowledge
+from .knowledge import Knowledge, make_knowledge, read_sources
 from .limits import LimitService
 from .memory import Memory
 from .metrics import Metrics
@@ -31,6 +31,8 @@
 from .respfront import RespFront, Session
 from .settings import Fleet, address, module_settings, upgrade_address
 from .upstream import Upstream
+from .versions.desk import Desk
+from .versions.shell import Versions
 from .watch import Watch
 
 DRAIN_LOOK = 10_000  # microseconds between two looks whether all is answered
@@ -63,12 +65,15 @@
         self.take_over = take_over
         self.log = structlog.get_logger().bind(gateway=self.entry.name)
         self.given = knowledge is not None
-        self.knowledge = knowledge or read_knowledge(loop.world, fleet, 1, self.log)
+        self.sources: tuple[bytes, bytes] | None = None  # what our files say
+        self.versions = Versions(self) if fleet.change.voters else None
+        self.knowledge = knowledge or self._first_knowledge(1)
         self.metrics = Metrics()
         self.stopping = False
         self.ready = False
         self.quiet = False  # peers hear of another process in our place
         self.failed = ""
+        self.when_ready: Callable[[], None] = lambda: None  # called once, when requests are served
         self.incarnation = loop.now()
         self.sequence = 0
         self.peers = [address(entry.peer) for entry in fleet.gateways]
@@ -135,20 +140,34 @@
 
     # -- parts
 
+    def _first_knowledge(self, number: int) -> Knowledge:
+        """What an earlier life went by, or what the files say. Raises what ``_read_files`` does."""
+        found = self.versions.restored(number) if self.versions is not None else None
+        return found or self._read_files(number)
+
+    def _read_files(self, number: int) -> Knowledge:
+        """Raises DescriptionError, CustomersError, OSError."""
+        sources = read_sources(self.loop.world, self.fleet)
+        found = make_knowledge(*sources, self.fleet, number, self.log)
+        self.sources = sources
+        return found
+
     def read(self, number: int) -> None:
-        """Read description and customers beside the loop. Raises what ``read_knowledge`` does."""
-        world = self.loop.world
+        """Read description and customers beside the loop. Raises what ``_read_files`` does."""
         if not self.given:
-            self.knowledge = world.aside(lambda: read_knowledge(world, self.fleet, number, self.log))
+            self.knowledge = self.loop.world.aside(lambda: self._first_knowledge(number))
 
     def build(self, scope: Scope) -> None:
         """Make all parts; none of them does anything yet."""
         self.scope = scope
         settings = module_settings(self.fleet, self.rank, self.knowledge.generation)
-        intakes = self.fleet.peers.intake, self.fleet.limits.intake
+        intakes = [self.fleet.peers.intake, self.fleet.limits.intake]
+        if self.versions is not None:
+            intakes.append(self.fleet.change.intake)
         self.inbox = Inbox(self.secret, self.rank, len(self.peers), self.loop.now(), *intakes)
         nodes = OpenApiNodes(self.fleet, self.entry.name, self.incarnation, self.tracker)
-        clients = OpenApiClients(self.fleet, lambda: self.knowledge, lambda: self.host, self.metrics)
+        why_not = self.versions.why_not_serve if self.versions is not None else str
+        clients = OpenApiClients(self.fleet, lambda: self.knowledge, lambda: self.host, self.metrics, why_not)
         rules = Gateway(settings, self.loop.world.random.getrandbits(64), self.loop.now())
         track(rules)
         upstream = Upstream(self.loop, self.fleet, scope, nodes)
@@ -171,8 +190,9 @@
             self.metrics,
             lambda: self.knowledge,
             self.about,
-            lambda: self.ready and not self.stopping,
+            lambda: self.ready and not self.stopping and not why_not(),
             self.names,
+            Desk(self.versions) if self.versions is not None else None,
         )
         cache = f"{self.fleet.state}/{self.entry.name}.nodes.json" if self.fleet.state else ""
         self.watch = Watch(self.loop, self.fleet, self.tracker, self.entry.name, cache, self._listed)
@@ -187,6 +207,8 @@
         self.host.start()
         if self.record_to:
             self._record(scope, self.record_to)
+        if self.versions is not None:
+            self.versions.start(scope)
         scope.spawn(self.watch.work, kind=CONTROL, name="node list")
         scope.spawn(self.watch.keep, kind=BACKGROUND, name="node list's cache")
         self._listen()
@@ -194,6 +216,8 @@
         if "resp" in self.places:
             self.resp.listen(self.places["resp"])
         self.ready = True
+        if self.versions is None:
+            self.when_ready()
         self.log.info("started", listen=self.entry.listen, rank=self.rank, pid=os.getpid())
 
     def _remember(self, scope: Scope) -> None:
@@ -226,6 +250,8 @@
     ) -> None:
         """Take nothing new at any place; the clients are passed on between two requests."""
         self.loop.cancel(self._hearing)
+        if self.versions is not None:
+            self.versions.stop()
         self.admin.hold()
         self.front.hold(pass_http)
         if "resp" in self.places:
@@ -237,6 +263,8 @@
         self.host.lent = None
         self.limits.hold_back()
         self._listen()
+        if self.versions is not None:
+            self.versions.start(self.scope)
         self.front.resume()
         if "resp" in self.places:
             self.resp.resume()
@@ -256,6 +284,7 @@
             "open": len(self.host.exchanges),
             "draining": self.stopping,
             "client_margin": int(self.fleet.times.client_margin),
+            **({"version": self.versions.show()} if self.versions is not None else {}),
         }
 
     def _record(self, scope: Scope, folder: str) -> None:
@@ -285,8 +314,11 @@
     def reload(self) -> None:
         """Read description and customers anew, beside the traffic; what can't be used changes nothing."""
         world, number = self.loop.world, self.knowledge.generation.number + 1
+        if self.versions is not None and self.versions.ledger is not None:
+            self.log.error("reload refused", why="the fleet goes by its ledger: propose the change")
+            return
         try:
-            fresh = world.aside(lambda: read_knowledge(world, self.fleet, number, self.log))
+            fresh = world.aside(lambda: self._read_files(number))
             if fresh.generation.classes != self.knowledge.generation.classes:
                 raise DescriptionError(
                     self.fleet.description, [("x-orchidlane", "other classes need a restart of the gateway")]
@@ -311,6 +343,10 @@
         else:
             self._tell(rank, body, LIMITS)
 
+    def tell_change(self, rank: int, body: bytes) -> None:
+        """A datagram about the fleet's versions."""
+        self._tell(rank, body, CHANGE)
+
     def _tell(self, rank: int, body: bytes, kind: int = MODULE) -> None:
         if self.quiet:
             return
@@ -329,5 +365,7 @@
                 kind, sender, body = taken
                 if kind == MODULE:
                     self.host.feed(api.PeerMessage(sender, body))
+                elif kind == CHANGE and self.versions is not None:
+                    self.versions.hear(sender, body)
                 else:
                     self.limits.hear(sender, body)
--- a/orchidlane/gateway/schema.cue
+++ b/orchidlane/gateway/schema.cue
@@ -121,6 +121,18 @@
 	growth:    *2 | int & >=1 & <=16 // of a batch over the one before
 }
 
+// Versions of what the fleet goes by, approved by a quorum; off without voters. See docs/change.md.
+#Change: {
+	voters:  *[] | [...string] // names of 3, 5 or 7 gateways, best over halls
+	lease:   *"60s" | #Duration // without word of a quorum for so long a gateway serves no more
+	every:   *"500ms" | #Duration // each gateway asks another for news
+	beat:    *"150ms" | #Duration // whoever leads says so to the voters
+	silence: *"1s" | #Duration // of whoever leads, after which another voter claims to
+	decide:  *"20s" | #Duration // for a quorum to vote on a change
+	content: *"32MiB" | #Size // of a description, or of customers
+	intake:  *2000 | number & >0 // datagrams a second
+}
+
 #Fleet: {
 	description:  string // an OpenAPI file
 	customers:    string // a JSON file
@@ -135,6 +147,7 @@
 	upgrade:      #Upgrade
 	roll:         #Roll
 	restart:      #Restart
+	change:       #Change
 	max_attempts: *3 | int & >=1 & <=16
 	log_requests: *false | bool
 }
--- a/orchidlane/gateway/settings.py
+++ b/orchidlane/gateway/settings.py
@@ -174,6 +174,19 @@
     growth: int
 
 
+class ChangeTerms(msgspec.Struct, frozen=True):
+    """See ``#Change``; spans in microseconds."""
+
+    voters: tuple[str, ...]
+    lease: Duration
+    every: Duration
+    beat: Duration
+    silence: Duration
+    decide: Duration
+    content: Size
+    intake: float
+
+
 class Fleet(msgspec.Struct, frozen=True):
     """See ``#Fleet``."""
 
@@ -190,6 +203,7 @@
     upgrade: UpgradeTerms
     roll: RollTerms
     restart: RestartTerms
+    change: ChangeTerms
     max_attempts: int
     log_requests: bool
 
--- /dev/null
+++ b/orchidlane/gateway/versions/__init__.py
@@ -0,0 +1,1 @@
+"""The shell of fleet versions: datagrams, files, contents by hash; ``orchidlane.change`` decides."""
--- a/orchidlane/lab/backing.py
+++ b/orchidlane/lab/backing.py
@@ -267,7 +267,7 @@
         return found[0]
 
 
-def play_while(runner: Runner, work: Callable[[], None]) -> Verdict:
+def play_while(runner: Runner, work: Callable[[], None], warm_up: int = WARM_UP) -> Verdict:
     """Do the work in a thread of its own while clients ask; the verdict. For real processes.
 
     The load ends with the work. A successor that an upgrade left serving is nobody child: it is killed.
@@ -276,14 +276,18 @@
     found: list[Verdict] = []
     left: list[int] = []
 
+    failed: list[BaseException] = []
+
     def wait() -> None:
         try:
             work()
+        except BaseException as wrong:
+            failed.append(wrong)
         finally:
             over.set()
 
     def drive() -> None:
-        while runner.crowd is None or runner.crowd.sent < WARM_UP:
+        while runner.crowd is None or runner.crowd.sent < warm_up:
             loop.sleep(20_000)
         threading.Thread(target=wait, daemon=True).start()
         while not over.is_set():
@@ -304,4 +308,6 @@
         for pid in left:
             with contextlib.suppress(ProcessLookupError):
                 os.kill(pid, signal.SIGKILL)
+    if failed:
+        raise failed[0]
     return found[0]
--- a/orchidlane/lab/clients.py
+++ b/orchidlane/lab/clients.py
@@ -101,7 +101,9 @@
         rank = self._gateway(subscriber)
         at = self.loop.now()
         by = at + patience
-        ended, end, status, harmless, extra = self._exchange(rank, request, name, subscriber, kind, by)
+        ended, end, status, harmless, extra, version = self._exchange(
+            rank, request, name, subscriber, kind, by
+        )
         done = Try(
             at=at,
             by=by,
@@ -115,19 +117,21 @@
             status=status,
             harmless=harmless,
             extra=extra,
+            version=version,
         )
         self.record(done)
         return done
 
     def _exchange(
         self, rank: int, request: str, name: str, subscriber: Subscriber, kind: Kind, by: int
-    ) -> tuple[int, str, int, bool, int]:
+    ) -> tuple[int, str, int, bool, int, str]:
         loop = self.loop
         try:
             stream, parser = self._connection(rank, min(by, loop.now() + CONNECT))
         except (NotConnected, Expired):
-            return loop.now(), "unreachable", 0, False, 0
+            return loop.now(), "unreachable", 0, False, 0, ""
         end, status, harmless, extra, keep, leaves = "reset", 0, False, 0, False, False
+        version = ""
         try:
             stream.send(self._bytes(request, name, subscriber, kind, by), by)
             parser.expect(kind.method)
@@ -136,6 +140,7 @@
             head = self._answer(stream, parser, until)
             end, status = "answer", head.status
             harmless = status in (429, 503)
+            version = (http1.header(head.headers, b"orchidlane-version") or b"").decode("latin-1")
             extra = parser.pending
             keep = head.keep_alive and not extra
         except Expired:
@@ -150,7 +155,7 @@
             self.idle.setdefault(rank, []).append((stream, parser, name))
         else:
             stream.close()
-        return ended, end, status, harmless, extra
+        return ended, end, status, harmless, extra, version
 
     def _connection(self, rank: int, by: int) -> tuple[Stream, http1.ResponseParser]:
         idle = self.idle.get(rank, [])
--- a/orchidlane/lab/day.py
+++ b/orchidlane/lab/day.py
@@ -279,6 +279,7 @@
     crowd: Crowd | None = None
     takers: Takers | None = None
     restarting: set[str] = field(default_factory=set)
+    beside: list[Callable[[], None]] = field(default_factory=list)  # further stand-ins, each a task
     upgrades: Counter[bool] = field(default_factory=Counter)  # by whether the successor stayed
 
     def run(self) -> Verdict:
@@ -291,6 +292,8 @@
             with Scope(self.loop) as scope:
                 scope.spawn(self.relay.serve, kind=PEERS)
                 scope.spawn(self.node_list.serve, kind=CONTROL)
+                for work in self.beside:
+                    scope.spawn(work, kind=PEERS)
                 self._start_all()
                 self.crowd = self._crowd()
                 for step in day.steps:
--- a/orchidlane/lab/records.py
+++ b/orchidlane/lab/records.py
@@ -65,6 +65,7 @@
     status: int = 0
     harmless: bool = False  # the answer says that a repeat is
     extra: int = 0  # bytes after the answer that belong to none
+    version: str = ""  # of the rules that the answer was made by, where it says so
 
 
 class Take(msgspec.Struct, frozen=True, tag="take"):
--- a/orchidlane/lab/standins.py
+++ b/orchidlane/lab/standins.py
@@ -113,6 +113,8 @@
         self.double = 0.0
         self.delay = (0, 0)
         self.cuts: set[frozenset[int]] = set()
+        self.one_way: set[tuple[int, int]] = set()  # sender and receiver: nothing passes that way
+        self.seen: Callable[[int, int, bytes], None] = lambda sender, receiver, data: None
 
     def serve(self) -> None:
         """Bring datagrams for ever."""
@@ -125,7 +127,10 @@
         while True:
             data, _ = self.sockets[rank].recv()
             sender = HEAD.unpack_from(data)[3] if len(data) >= HEAD.size else -1
-            if frozenset((sender, rank)) in self.cuts or random.random() < self.loss:
+            self.seen(sender, rank, data)
+            if frozenset((sender, rank)) in self.cuts or (sender, rank) in self.one_way:
+                continue
+            if random.random() < self.loss:
                 continue
             for _ in range(1 + (random.random() < self.double)):
                 span = random.randint(*self.delay)
--- /dev/null
+++ b/tests/processes/fleets.py
@@ -0,0 +1,36 @@
+"""Shorthands for tests on whole processes: a fleet with voters under a steady load."""
+
+from __future__ import annotations
+
+from pathlib import Path
+
+import msgspec
+
+from orchidlane.config import Duration
+from orchidlane.lab.day import load_day
+from orchidlane.lab.fleet import play_fleet
+
+MATERIALS = Path(__file__).parent.parent.parent / "examples" / "materials"
+SECOND = 1_000_000
+COST, EDITED = "{class: sheet-read, cost: 2}", "{class: sheet-read, cost: 3}"
+
+
+def fleet_of(tmp_path, work, gateways=3, voters=3, rate=60.0, seed=1, **change):
+    """Verdict and fleet of ``work(fleet)`` beside clients' requests."""
+    terms = {"voters": [f"gw-{rank}" for rank in range(voters)], "lease": "2s", "every": "100ms", **change}
+
+    def edit(value):
+        value["change"] |= terms
+
+    found = load_day(str(MATERIALS / "random.cue"))
+    day = msgspec.structs.replace(
+        found, span=Duration(300 * SECOND), steps=(), gateways=gateways, rate=rate, takes=0.0
+    )
+    return play_fleet(day, str(tmp_path), work, edit, seed)
+
+
+def rules_hold(verdict) -> None:
+    """All five, and there was something to hold them over."""
+    told = verdict.as_json()
+    assert verdict.rules == dict.fromkeys("12345", True), told
+    assert verdict.answers.get("200", 0) > 20, told
--- a/tests/test_parts.py
+++ b/tests/test_parts.py
@@ -16,7 +16,7 @@
 
 
 def inbox(intake=1000.0) -> Inbox:
-    return Inbox(SECRET, rank=0, gateways=3, now=NOW, intake=intake, limits_intake=0)
+    return Inbox(SECRET, 0, 3, NOW, intake, 0)
 
 
 def datagram(sequence=1, sender=1, receiver=0, life=NOW, body=b"hello", secret=SECRET) -> bytes:
