Versions go by stages, judged old beside new at the same moment, and back by themselves

Need: `roll` compares a gateway with its own past, and its measure lets 4,900 failures of 10,000 answers pass. Moves of sets and undos go by no stages. `change.soak` 0s: all at once.

--- /dev/null
+++ b/benchmarks/change.py
@@ -0,0 +1,200 @@
+"""Fleet changes measured: real processes, simulated fleets, the judge. The last line is one JSON object.
+
+    python -m benchmarks.change [--quick]
+
+Times are of the clients' clock (real) or virtual (simulated), medians and largest. ``cost_ratio`` is what a
+request takes with versions over what it takes without, both in this run.
+"""
+
+from __future__ import annotations
+
+import http.client
+import json
+import logging
+import random
+import statistics
+import sys
+import tempfile
+import time
+from pathlib import Path
+from typing import Any
+
+import msgspec
+import structlog
+
+from orchidlane.change.judge import KINDS, Judge, Tally
+from orchidlane.change.version import Parts, name_of
+from orchidlane.config import Duration
+from orchidlane.gateway.settings import parse_fleet
+from orchidlane.gateway.versions.desk import Order
+from orchidlane.lab.changes import Story, VersionFleet
+from orchidlane.lab.day import load_day
+from orchidlane.lab.fleet import ProcessFleet, play_fleet
+
+MATERIALS = Path(__file__).parent.parent / "examples" / "materials"
+RULES = (MATERIALS / "openapi.yaml").read_bytes()
+COST = "{class: sheet-read, cost: 2}"
+SECOND = 1_000_000
+ASKS = 400  # requests for the ratio
+USUAL = {"refused": 0.15, "failed": 0.01, "late": 0.02, "slow": 0.1, "attempts": 0.05}
+HARMS = ({"failed": 16.0}, {"refused": 4.0}, {"late": 8.0}, {"slow": 4.0})
+
+
+def real(work: Any, gateways: int, **change: Any) -> tuple[Any, ProcessFleet]:
+    """Verdict and fleet of some work beside a steady load."""
+    day = msgspec.structs.replace(
+        load_day(str(MATERIALS / "random.cue")),
+        span=Duration(600 * SECOND),
+        steps=(),
+        gateways=gateways,
+        rate=80.0,
+        takes=0.0,
+    )
+    terms = {"lease": "2s", "every": "100ms", "soak": "0s", **change}
+    with tempfile.TemporaryDirectory(prefix="orchidlane-") as folder:
+        return play_fleet(day, folder, work, lambda value: value["change"].update(terms))
+
+
+def all_run(fleet: ProcessFleet, number: int) -> int:
+    """Wait until whoever leads says that all run a version. The moment."""
+    while True:
+        status = fleet.status()
+        if status["leads"] and all(one["runs"] == number for one in status["gateways"]):
+            return fleet.now()
+
+
+def times_of_real_processes(rounds: int) -> dict[str, Any]:
+    """Nine gateways, five voters: from the command to all gateways, there and back."""
+    adopted: list[float] = []
+    undone: list[float] = []
+    told: dict[str, Any] = {}
+
+    def work(fleet: ProcessFleet) -> None:
+        fleet.leader()
+        sizes: list[int] = []
+        fleet.on_message(lambda *_: sizes.append(1))
+        began = time.monotonic()
+        time.sleep(3.0)
+        told["idle_datagrams_s"] = round(len(sizes) / (time.monotonic() - began) / fleet.count, 2)
+        for turn in range(rounds):
+            fleet.edit_rules(COST, COST.replace("2", "3"))
+            at = fleet.now()
+            assert fleet.command("propose", "--reason", "measured")[0] == 0
+            adopted.append((fleet.now() - at) / 1_000)
+            at = fleet.now()
+            assert fleet.command("undo")[0] == 0
+            undone.append((fleet.now() - at) / 1_000)
+            fleet.edit_rules(COST.replace("2", "3"), COST)
+            told["versions"] = 2 * (turn + 1)
+
+    verdict, fleet = real(work, 9, voters=[f"gw-{rank}" for rank in range(5)])
+    found = verdict.as_json()
+    known = set(range(told["versions"] + 1))
+    return {
+        "lost": found["missing"],
+        "doubled": found["doubled"],
+        "late": found["late"],
+        "ceiling_beyond": max(0.0, round(verdict.ceiling_worst - 1, 3)),
+        "unapproved": len(fleet.seen().keys() - known),
+        "adopted_ms": [round(statistics.median(adopted)), round(max(adopted))],
+        "undone_ms": [round(statistics.median(undone)), round(max(undone))],
+        "idle_datagrams_s": told["idle_datagrams_s"],
+    }
+
+
+def cost_ratio() -> float:
+    """A request over one kept connection, with versions over without."""
+    spent = {}
+    for voters in ([], ["gw-0", "gw-1", "gw-2"]):
+        times: list[float] = []
+
+        def work(fleet: ProcessFleet, times: list[float] = times) -> None:
+            host, port = fleet.runner.plan.gateways[0]
+            client = http.client.HTTPConnection(host, port)
+            for _ in range(ASKS):
+                began = time.perf_counter()
+                client.request("GET", "/v1/nowhere", headers={"X-Api-Key": "key-of-1"})
+                client.getresponse().read()
+                times.append(time.perf_counter() - began)
+
+        real(work, 3, voters=voters)
+        spent[len(voters)] = statistics.median(times)
+    return round(spent[3] / spent[0], 3)
+
+
+def rules(edit: int) -> bytes:
+    """A description with a cost of its own for each edit."""
+    return RULES.replace(COST.encode(), b"{class: sheet-read, cost: %d}" % (2 + edit))
+
+
+def simulated(gateways: int) -> list[int]:
+    """Milliseconds, virtual, from the command to all gateways, and from the undo on."""
+    fleet = parse_fleet((MATERIALS / "fleet.cue").read_text(), "fleet.cue")
+    customers = (MATERIALS / "customers.json").read_bytes()
+    story = VersionFleet(Story(1, gateways, 5), fleet, rules, customers)
+    spans: list[int] = []
+
+    def change(number: int, data: bytes, undoes: int) -> None:
+        name = name_of(data)
+        story._ask(0, "PUT", f"content/{name}", data)
+        parts = Parts(name, name_of(customers))
+        order = Order(f"order-{number}", "propose", number - 1, "bench", "measured", parts, undoes)
+        began = story.loop.now()
+        story._ask(0, "POST", "command", msgspec.msgpack.encode(order))
+        story._until(lambda: story._settled() and _number(story) == number, 120 * SECOND, "not adopted")
+        spans.append((story.loop.now() - began) // 1_000)
+
+    def run() -> None:
+        story.world.files["openapi"], story.world.files["customers"] = rules(0), customers
+        for rank in range(gateways):
+            story.start(rank)
+        story._until(story._settled, 120 * SECOND, "not founded")
+        change(1, rules(1), 0)
+        change(2, rules(0), 1)
+        for rank in story.alive():
+            story.kill(rank)
+
+    story.loop.run(run)
+    return spans
+
+
+def _number(story: VersionFleet) -> int:
+    versions = story.programs[0].versions
+    return versions.number if versions is not None else -1
+
+
+def judged(seed: int, harm: dict[str, float]) -> bool:
+    """Whether a stage of 40 looks is stopped, with shares and a load that wander."""
+    rng, judge, usual = random.Random(seed), Judge(), dict(USUAL)
+    for _ in range(40):
+        usual["refused"] = min(0.6, max(0.02, usual["refused"] + rng.uniform(-0.05, 0.05)))
+        load = rng.randint(2, 30)
+        sides = []
+        for times in (harm, {}):
+            size = rng.randint(0, load) if times is harm else 2 * load
+            shares = {kind: min(1.0, share * times.get(kind, 1.0)) for kind, share in usual.items()}
+            bad = {k: sum(rng.random() < shares[k] for _ in range(size)) for k in KINDS if k != "served"}
+            bad["failed"] = min(bad["failed"], size - bad["refused"])
+            sides.append({"one": Tally(size, **bad)})
+        if judge.look(*sides).harm:
+            return True
+    return False
+
+
+def main() -> None:
+    """Print what is measured as it comes, and all of it in the last line."""
+    quick = "--quick" in sys.argv
+    structlog.configure(wrapper_class=structlog.make_filtering_bound_logger(logging.CRITICAL))
+    found = times_of_real_processes(2 if quick else 8)
+    print("nine real processes", found, flush=True)
+    for size in (9, 40) if quick else (9, 40, 340):
+        found[f"simulated_{size}_ms"] = simulated(size)
+        print(size, "simulated", found[f"simulated_{size}_ms"], flush=True)
+    found["false_stops"] = sum(judged(seed, {}) for seed in range(1_000))
+    found["missed_harm"] = sum(not judged(seed, HARMS[seed % len(HARMS)]) for seed in range(200))
+    found["cost_ratio"] = cost_ratio()
+    print(json.dumps(found))
+
+
+if __name__ == "__main__":
+    main()
--- a/orchidlane/change/conduct.py
+++ b/orchidlane/change/conduct.py
@@ -15,6 +15,7 @@
 
 import msgspec
 
+from . import stages
 from .ledger import (
     Admit,
     Approve,
@@ -22,10 +23,12 @@
     Claim,
     Finish,
     Ledger,
+    Propose,
     Settle,
     Stage,
     Step,
     Stop,
+    Widen,
     has_rank,
     ranks_as_bits,
 )
@@ -48,6 +51,7 @@
     beat: int
     silence: int  # after which another voter claims to lead
     decide: int  # for a quorum to vote on a change
+    stages: stages.Terms
 
 
 class Reported(msgspec.Struct):
@@ -56,6 +60,7 @@
     number: int
     wanted: int
     why: str
+    load: int
     at: int
     since: int  # when it first said this number
 
@@ -86,6 +91,7 @@
         self._beaten = now
         self._stage: tuple[object, ...] = ()
         self._since = self._claimed = now
+        self.stager: stages.Stager | None = None
 
     def _patience(self) -> int:
         wide = 1 << min(self._claims, CLAIMS_MOST)  # on a slow network claims would else stop each other
@@ -171,7 +177,7 @@
         """What a gateway runs."""
         known = self.reports.get(sender)
         since = known.since if known is not None and known.number == report.number else now
-        self.reports[sender] = Reported(report.number, report.wanted, report.why, now, since)
+        self.reports[sender] = Reported(report.number, report.wanted, report.why, report.load, now, since)
         return [Tell(sender, Noted(report.number, report.wanted))]
 
     def hear_vote(self, sender: int, voted: Voted) -> None:
@@ -230,6 +236,8 @@
         if stage != self._stage:
             if stage[:3] != self._stage[:3]:
                 self.votes.clear()
+            if change is None or self.stager is None or self.stager.number != change.version.number:
+                self.stager = stages.Stager(self.terms.stages, change.version.number, now) if change else None
             self._stage, self._since = stage, now
 
     def _by_rules(self, now: int, ledger: Ledger) -> Step | None:
@@ -242,7 +250,9 @@
         change = ledger.change
         if change is None:
             return None
-        return self._decide(now, ledger, change) if change.stage is Stage.ASKED else self._adopt(now, change)
+        if change.stage is Stage.ASKED:
+            return self._decide(now, ledger, change)
+        return self._adopt(now, ledger, change)
 
     def _decide(self, now: int, ledger: Ledger, change: Change) -> Step | None:
         """By the votes that came, or the silence of those who did not vote."""
@@ -250,7 +260,9 @@
         votes = [vote for vote in self.votes.values() if Seat(vote.rank, vote.store) in seats]
         yes = tuple(vote for vote in votes if vote.yes)
         if len(yes) >= majority(ledger.seats):
-            return Approve(ledger.term, number, yes, ranks_as_bits(range(self.gateways), self.gateways))
+            first = stages.first_batch(self.terms.stages, self.loads())
+            reach = first if self._is_staged(ledger, change) else range(self.gateways)
+            return Approve(ledger.term, number, yes, ranks_as_bits(reach, self.gateways))
         no = [vote for vote in votes if not vote.yes]
         reasons = "; ".join(f"gateway {vote.rank}: {vote.why}" for vote in no)
         if len(no) > len(seats) - majority(ledger.seats):
@@ -260,16 +272,51 @@
             return Stop(ledger.term, number, f"no quorum said yes; silent: {silent}; {reasons}")
         return None
 
-    def _adopt(self, now: int, change: Change) -> Step | None:
-        """All have confirmed, or can't serve by anything else any more."""
-        number = change.version.number
-        missing = self.missing(change)
-        if not missing:
-            return Finish(self.led, number, "")
-        if now - self._since > self.terms.lease * DRIFT:
+    def _is_staged(self, ledger: Ledger, change: Change) -> bool:
+        """Whether it goes by stages: not what takes harm back, nor a move of sets, which goes by shares."""
+        same = change.version.parts.customers == ledger.current.version.parts.customers
+        return bool(self.terms.stages.soak) and not change.version.undoes and same
+
+    def loads(self) -> list[float]:
+        """Answers a second of each gateway, as it said last."""
+        found = (self.reports.get(rank) for rank in range(self.gateways))
+        return [float(known.load) if known is not None else 0.0 for known in found]
+
+    def _adopt(self, now: int, ledger: Ledger, change: Change) -> Step | None:
+        """All of the stage have confirmed, or can't serve by anything else any more."""
+        number, missing = change.version.number, self.missing(change)
+        reached = [rank for rank in range(self.gateways) if has_rank(change.reach, rank)]
+        late = now - self._since > self.terms.lease * DRIFT
+        if len(reached) == self.gateways:
+            if missing and not late:
+                return None
             names = ", ".join(map(str, missing[:TOLD_MOST])) + (" ..." if len(missing) > TOLD_MOST else "")
-            return Finish(self.led, number, f"not confirmed, and not serving: {len(missing)}: {names}")
-        return None
+            why = f"not confirmed, and not serving: {len(missing)}: {names}" if missing else ""
+            return Finish(self.led, number, why)
+        assert self.stager is not None
+        self.stager.at(now, change.reach, () if late else missing)
+        verdict = self.stager.verdict(now)
+        if verdict:
+            return self._take_back(ledger, change, verdict)
+        if verdict is None or change.paused:
+            return None
+        more = stages.next_batch(self.terms.stages, self.loads(), reached)
+        return Widen(self.led, number, ranks_as_bits(more, self.gateways))
+
+    def _take_back(self, ledger: Ledger, change: Change, why: str) -> Step:
+        """A stage that does harm is undone by itself."""
+        number, parts = change.version.number, ledger.current.version.parts
+        return Propose(
+            self.led, f"harm-{number}", parts, number, "the fleet", f"stopped at harm: {why}", number
+        )
+
+    def sides(self, change: Change, turn: int) -> tuple[list[int], list[int]]:
+        """Gateways that run a change's version and such that run the one before: a sample of each."""
+        number = change.version.number
+        runs = {rank: known.number for rank, known in self.reports.items()}
+        new = [rank for rank in sorted(runs) if runs[rank] == number]
+        old = [rank for rank in sorted(runs) if runs[rank] != number and not change.reaches(rank)]
+        return stages.sample(new, turn), stages.sample(old, turn)
 
     def missing(self, change: Change) -> list[int]:
         """The gateways that are to run a version and did not say that they do."""
--- a/orchidlane/change/messages.py
+++ b/orchidlane/change/messages.py
@@ -40,6 +40,7 @@
 
     number: int
     wanted: int
+    load: int = 0  # answers a second
     why: str = ""
 
 
--- a/orchidlane/gateway/openapi.py
+++ b/orchidlane/gateway/openapi.py
@@ -57,11 +57,13 @@
         host: Callable[[], Host],
         metrics: Metrics,
         why_not: Callable[[], str] = str,
+        note: Callable[[Exchange, Answer, int], None] | None = None,
     ) -> None:
         self.fleet = fleet
         self.knowledge = knowledge
         self.host = host
         self.metrics = metrics
+        self.note = note  # is told of each final answer
         self.why_not = why_not  # requests may be served; "" where they may
 
     def understand(self, head: Request, under_way: int) -> Call | Answer:
@@ -123,6 +125,8 @@
         if recorder is not None:
             recorder.answer(exchange.number, answer.status, answer.kind, span)
         self._add_figures(exchange, answer)
+        if self.note is not None:
+            self.note(exchange, answer, span)
         self.knowledge().log_answer(exchange, answer, span)
 
     def over(self, exchange: Exchange) -> None:
--- a/orchidlane/gateway/program.py
+++ b/orchidlane/gateway/program.py
@@ -167,7 +167,10 @@
         self.inbox = Inbox(self.secret, self.rank, len(self.peers), self.loop.now(), *intakes)
         nodes = OpenApiNodes(self.fleet, self.entry.name, self.incarnation, self.tracker)
         why_not = self.versions.why_not_serve if self.versions is not None else str
-        clients = OpenApiClients(self.fleet, lambda: self.knowledge, lambda: self.host, self.metrics, why_not)
+        note = self.versions.note if self.versions is not None else None
+        clients = OpenApiClients(
+            self.fleet, lambda: self.knowledge, lambda: self.host, self.metrics, why_not, note
+        )
         rules = Gateway(settings, self.loop.world.random.getrandbits(64), self.loop.now())
         track(rules)
         upstream = Upstream(self.loop, self.fleet, scope, nodes)
--- a/orchidlane/gateway/schema.cue
+++ b/orchidlane/gateway/schema.cue
@@ -131,6 +131,7 @@
 	decide:  *"20s" | #Duration // for a quorum to vote on a change
 	content: *"32MiB" | #Size // of a description, or of customers
 	intake:  *2000 | number & >0 // datagrams a second
+	soak:    *"10s" | #Duration // of a stage, old beside new, before the next; "0s": all at once
 	move:    *0.25 | #Share // of the customers whose sets move, at once
 }
 
--- a/orchidlane/gateway/settings.py
+++ b/orchidlane/gateway/settings.py
@@ -186,6 +186,7 @@
     content: Size
     intake: float
     move: float
+    soak: Duration
 
 
 class Fleet(msgspec.Struct, frozen=True):
--- a/orchidlane/gateway/versions/desk.py
+++ b/orchidlane/gateway/versions/desk.py
@@ -95,6 +95,8 @@
                 return self._content(name)
             case "PUT", "content" if is_name(name):
                 return self._upload(name, body)
+            case "GET", "counts":
+                return 200, msgspec.msgpack.encode(self.versions.book.tallies())
             case "GET", "status":
                 return 200, msgspec.msgpack.encode(self.status())
             case "POST", "command":
--- a/orchidlane/gateway/versions/shell.py
+++ b/orchidlane/gateway/versions/shell.py
@@ -17,20 +17,25 @@
 from ...change import conduct, ledger, messages, quorum, spread
 from ...change.conduct import Conductor
 from ...change.found import found, own_waiting
-from ...change.ledger import Ledger, Stage, Step
+from ...change.judge import Tallies, Tally, between
+from ...change.ledger import Change, Ledger, Stage, Step
 from ...change.mixing import Account, Material, moves, why_not_beside
 from ...change.quorum import STORE_BITS, Chosen, Dropped, Hold, Keep, Kept, Register, Said
 from ...change.spread import Spread
+from ...change.stages import Look, Terms
 from ...change.version import Certificate, Parts, Seat, cast, is_name, name_of, why_not_certified
 from ...interface import SetMoved
 from ...loop import BACKGROUND, CONTROL, Expired, Scope, Task
 from ...loop.world import Address
 from ...routes import DescriptionError
+from ...upgrade.batch import Limits
 from ..customers import CustomersError
+from ..exchange import Answer, Exchange
 from ..knowledge import Knowledge, UnfitContent, make_knowledge
 from ..settings import Fleet, address
 from .fetch import PREFIX, FetchError, call
 from .files import Damaged, Files, RunningFile, VoterFile
+from .tally import Book
 
 if TYPE_CHECKING:
     from ..program import Program
@@ -42,9 +47,13 @@
 SOURCES = 2  # gateways at random that are tried for one content, before those that voted on it
 AGAIN = 300_000  # microseconds until what failed is tried again
 OUTCOME_WITHIN = 5_000_000  # microseconds for a command's step
+COUNTS_WITHIN = 500_000  # microseconds for the counts of another gateway
 REPORT_EVERY = 500_000  # microseconds between two reports to whoever leads
 
 
+_counts = msgspec.msgpack.Decoder(dict[str, Tally])
+
+
 class Outcome(msgspec.Struct, frozen=True):
     """What became of a command; ``again``: told again it may be taken, and is taken once at most."""
 
@@ -68,7 +77,11 @@
         now, rng = self.loop.now(), self.world.random
         count = len(fleet.gateways)
         self.spread = Spread(self.rank, count, self.voters, terms.lease, terms.every, rng)
-        self.terms = conduct.Terms(terms.lease, terms.beat, terms.silence, terms.decide)
+        self.terms = conduct.Terms(terms.lease, terms.beat, terms.silence, terms.decide, _stages(fleet))
+        self.book = Book()
+        self._counted: dict[tuple[int, bool], Tallies] = {}  # at the latest look, by rank and side
+        self._turn = 0
+        self._looked = 0  # the version whose stages were looked at last
         self.ledger: Ledger | None = None
         self.running: Certificate | None = None  # what requests are understood by; None: our files
         self.own_parts = Parts("", "")  # of our files
@@ -426,6 +439,16 @@
             self._wait_for_seat(now, conductor)
         if register.votes and self.ledger is not None:
             self._vote(self.ledger, register)
+        change = self.ledger.change if self.ledger is not None else None
+        adopting = change is not None and change.stage is Stage.ADOPTING
+        if (
+            change is not None
+            and adopting
+            and conductor.leads
+            and "look" not in self._busy
+            and self._may("look")
+        ):
+            self._beside("look", lambda: self._look(change, conductor))
 
     def _may(self, what: str) -> bool:
         """Whether a kind of work is due again; then it is not, for a while."""
@@ -464,6 +487,47 @@
         self.conductor.lead_first()
         self._learn(first, name_of(data), data, None)
 
+    # -- old beside new
+
+    def note(self, exchange: Exchange, answer: Answer, span: int) -> None:
+        """One final answer of ours."""
+        self.book.note(exchange, answer, span, self.loop.now())
+
+    def _look(self, change: Change, conductor: Conductor) -> None:
+        """Ask a sample of both sides what they answered, and have it judged."""
+        self._turn += 1
+        if self._looked != change.version.number:
+            self._looked = change.version.number
+            self._counted.clear()
+        told: tuple[dict[int, Tallies], dict[int, Tallies]] = ({}, {})
+        silent = []
+        for side, ranks in zip(told, conductor.sides(change, self._turn), strict=True):
+            for rank in ranks:
+                counts = self._counts_of(rank)
+                key = rank, side is told[0]
+                if counts is not None:
+                    if key in self._counted:
+                        side[rank] = between(counts, self._counted[key])
+                    self._counted[key] = counts
+                elif side is told[0]:
+                    silent.append(rank)
+        stager = conductor.stager
+        if stager is not None and stager.number == change.version.number:
+            stager.look(self.loop.now(), Look(*told, silent))
+            if stager.harm:
+                self.log.error("a stage does harm", version=change.version.show(), why=stager.harm)
+
+    def _counts_of(self, rank: int) -> Tallies | None:
+        if rank == self.rank:
+            return self.book.tallies()
+        by = self.loop.now() + COUNTS_WITHIN
+        try:
+            at, target = self.admin_of(rank), PREFIX + b"counts"
+            status, data = call(self.loop, at, self.secret, "GET", target, by=by)
+            return _counts.decode(data) if status == 200 else None
+        except (FetchError, msgspec.DecodeError):
+            return None
+
     # -- votes on versions
 
     def _vote(self, latest: Ledger, register: Register) -> None:
@@ -526,7 +590,9 @@
         if latest.leader >= 0:
             self._reported = now
             why = messages.short(self.why_behind)
-            self._tell(latest.leader, messages.Report(self.number, wanted.version.number, why))
+            self._tell(
+                latest.leader, messages.Report(self.number, wanted.version.number, self.book.load(now), why)
+            )
 
     def _leader_key(self) -> tuple[int, int]:
         return (self.ledger.leader, self.ledger.term) if self.ledger is not None else (-1, 0)
@@ -681,5 +747,17 @@
     }
 
 
+def _stages(fleet: Fleet) -> Terms:
+    """A change's batches are as a roll's."""
+    roll, count = fleet.roll, len(fleet.gateways)
+    return Terms(
+        soak=int(fleet.change.soak),
+        growth=roll.growth,
+        limits=Limits(roll.share, roll.set_share, roll.halls, roll.load),
+        halls=tuple(entry.zone for entry in fleet.gateways),
+        spreads=tuple(sorted({min(plan.spread or count, count) for plan in fleet.plans.values()})),
+    )
+
+
 def _material(knowledge: Knowledge, fleet: Fleet) -> Material:
     return Material(knowledge.generation, accounts_of(knowledge, fleet))
--- a/orchidlane/lab/changes.py
+++ b/orchidlane/lab/changes.py
@@ -51,6 +51,7 @@
     gateways: int
     voters: int
     span: int = 12 * SECOND
+    soak: int = 0  # stages, where it is not
     faults: frozenset[str] = frozenset()
     told: Counter[str] = field(default_factory=Counter)
 
@@ -108,6 +109,7 @@
             beat=Duration(SECOND // 20),
             silence=Duration(SECOND * 3 // 10),
             decide=Duration(3 * SECOND),
+            soak=Duration(self.story.soak),
         )
         return msgspec.structs.replace(
             fleet, gateways=entries, change=terms, description="openapi", customers="customers", state="state"
@@ -315,6 +317,9 @@
 
     def _may_lose(self, rank: int) -> bool:
         """More voters without their disks than a quorum can spare would end the ledger, as is documented."""
+        known = [program.versions.ledger for program in self.programs.values() if program.versions]
+        if any(latest.before for latest in known if latest is not None):
+            return rank >= self.story.voters  # a change of seats is not settled: both sides are needed
         others = [one for one in self.alive() if one < self.story.voters and one != rank and self._votes(one)]
         return rank >= self.story.voters or len(others) > self.story.voters // 2
 
--- a/tests/processes/test_change_processes.py
+++ b/tests/processes/test_change_processes.py
@@ -301,3 +301,54 @@
     assert told["end"][0][0] == 0, told
     assert told["status"]["current"]["number"] == 2
     assert verdict.ceiling_worst <= 1
+
+
+GOOD_UPLOAD, BAD_UPLOAD = "worth: 2, cost: 2}", "worth: 2, cost: 40}"  # beyond any plan's burst
+
+
+def test_a_good_version_passes_all_stages_old_beside_new(tmp_path):
+    def work(fleet):
+        fleet.edit_rules(COST, EDITED)
+        told["end"] = fleet.command("propose", "--reason", "by stages")
+
+    told: dict = {}
+    verdict, fleet = nine(tmp_path, work, soak="700ms", rate=250.0)
+    rules_hold(verdict)
+    code, words = told["end"]
+    assert code == 0, words
+    done = [
+        int(line.split("adopting, ")[1].split(" of")[0]) for line in words.splitlines() if "adopting" in line
+    ]
+    assert done == sorted(done) and len(set(done)) >= 4, words
+    assert fleet.seen().keys() == {0, 1}
+
+
+@pytest.mark.parametrize("dies", [False, True], ids=["", "and the leader dies"])
+def test_a_bad_stage_is_found_and_taken_back_under_load(tmp_path, dies):
+    def work(fleet):
+        fleet.edit_rules(GOOD_UPLOAD, BAD_UPLOAD)
+        thread, found = fleet.begin("propose", "--reason", "uploads cost too much")
+        if dies:
+            fleet.until(lambda one: one["stage"] == "adopting")
+            leader = fleet.leader()
+            fleet.kill(leader)
+        thread.join(80)
+        told["end"] = found
+        if dies:
+            fleet.start(leader)
+        told["status"] = fleet.until(
+            lambda one: one["leads"] and all(gateway["runs"] == 2 for gateway in one["gateways"])
+        )
+        told["undone"] = fleet.now()
+
+    told: dict = {}
+    verdict, fleet = nine(tmp_path, work, soak="4s", rate=150.0)
+    rules_hold(verdict)
+    assert told["end"] and told["end"][0][0] == 1, told
+    history = told["status"]["history"]
+    assert "undone" in [entry["state"] for entry in history]
+    reason = history[-1]["version"]["reason"]
+    assert "stopped at harm: " in reason and "test-upload" in reason, reason
+    assert history[-1]["version"]["parts"] == history[0]["version"]["parts"]
+    assert len(fleet.seen().get(1, set())) <= 5, "more than two stages went by it"
+    assert fleet.seen(told["undone"]).keys() <= {2}
