An upgraded voter goes on with its version and votes; the old process holds nothing of them

Need: two processes of one voter may never vote with one disk. Seen by reading: after its moment the old process kept its queue of voter's events and could still write the running version beside the successor (Versions.stop). Change: both are dropped there.

--- a/orchidlane/gateway/versions/shell.py
+++ b/orchidlane/gateway/versions/shell.py
@@ -134,7 +134,8 @@
         """Take no part any more: another process of this gateway does."""
         for task in self._tasks:
             self.loop.cancel(task)
-        self._tasks, self.conductor = [], None
+        self._tasks, self.conductor, self._worker = [], None, None
+        self._queue.clear()
 
     def _keep_own_files(self) -> None:
         """Contents of our files, as version 0 names them."""
--- a/orchidlane/lab/fleet.py
+++ b/orchidlane/lab/fleet.py
@@ -227,6 +227,14 @@
         done = subprocess.run(words, capture_output=True, text=True, timeout=COMMAND_WITHIN)
         return done.returncode, done.stdout + done.stderr
 
+    def upgrade(self, rank: int) -> tuple[int, str]:
+        """Hand a gateway over to a new process of the same program."""
+        log = str(self.folder / f"gw-{rank}.log")
+        words = ["upgrade", str(self.folder / f"gw-{rank}.cue"), "--rank", str(rank), "--log", log]
+        command = [sys.executable, "-m", "orchidlane", *words]
+        done = subprocess.run(command, capture_output=True, text=True, timeout=COMMAND_WITHIN)
+        return done.returncode, done.stdout + done.stderr
+
     def begin(self, *arguments: str) -> tuple[threading.Thread, list[tuple[int, str]]]:
         """The same in a thread of its own."""
         found: list[tuple[int, str]] = []
--- a/tests/processes/test_change_processes.py
+++ b/tests/processes/test_change_processes.py
@@ -352,3 +352,26 @@
     assert history[-1]["version"]["parts"] == history[0]["version"]["parts"]
     assert len(fleet.seen().get(1, set())) <= 5, "more than two stages went by it"
     assert fleet.seen(told["undone"]).keys() <= {2}
+
+
+def test_a_voter_that_is_upgraded_goes_on_with_the_version_and_its_votes(tmp_path):
+    """Never two processes that vote with one disk: the old one stops before the new one reads it."""
+
+    def work(fleet):
+        fleet.edit_rules(COST, EDITED)
+        assert fleet.command("propose", "--reason", "before the upgrade")[0] == 0
+        leader = fleet.leader()
+        other = (leader + 1) % 3
+        told["upgrades"] = [fleet.upgrade(rank) for rank in (other, leader)]
+        told["end"] = fleet.command("undo")
+        fleet.until(lambda one: one["leads"] and all(gateway["runs"] == 2 for gateway in one["gateways"]))
+        told["all"] = fleet.now()
+        told["logs"] = [(fleet.folder / f"gw-{rank}.log").read_text() for rank in (other, leader)]
+
+    told: dict = {}
+    verdict, fleet = fleet_of(tmp_path, work)
+    rules_hold(verdict)
+    assert [code for code, _ in told["upgrades"]] == [0, 0], told["upgrades"]
+    assert told["end"][0] == 0, told["end"]
+    assert fleet.seen(told["all"]).keys() <= {2}
+    assert not any("the disk is an old one" in log or "Traceback" in log for log in told["logs"])
