--- a/orchidlane/change/quorum.py
+++ b/orchidlane/change/quorum.py
@@ -308,10 +308,11 @@
     def _configurations(self, attempt: _Attempt) -> list[tuple[Seat, ...]]:
         """The sets of seats of which each has to give a majority."""
         assert self.ledger is not None
-        known = [self.ledger, *(promise[2] for promise in attempt.promises.values())]
-        if attempt.ledger is not None:
-            known = [attempt.ledger]
-        found = [seats for one in known if one is not None for seats in (one.seats, one.before) if seats]
+        told = (promise[2] for promise in attempt.promises.values())
+        # An older one than what we know to be chosen asks for seats that may long be gone.
+        later = (one for one in told if one is not None and one.index > self.ledger.index)
+        known = [self.ledger, *later] if attempt.ledger is None else [attempt.ledger]
+        found = [seats for one in known for seats in (one.seats, one.before) if seats]
         return list(dict.fromkeys(found))
 
     def _promise(self, now: int, sender: int, message: Promise, ledger: Ledger | None) -> None:
--- a/orchidlane/lab/changes.py
+++ b/orchidlane/lab/changes.py
@@ -64,7 +64,8 @@
     rng = random.Random(seed)
     voters = rng.choice((3, 3, 3, 5))
     gateways = rng.randint(voters, max(voters, most))
-    return Story(seed, gateways, voters, faults=frozenset(kind for kind in KINDS if rng.random() < 0.5))
+    faults = frozenset(kind for kind in KINDS if rng.random() < 0.5)
+    return Story(seed, gateways, voters, faults=faults, soak=rng.choice((0, 0, SECOND // 4)))
 
 
 class VersionFleet:
--- a/tests/test_change_stories.py
+++ b/tests/test_change_stories.py
@@ -12,7 +12,8 @@
 
 from orchidlane.lab.changes import KINDS, Story, Wrong, draw, play_story
 
-SEEDS = range(1, int(os.environ.get("CHANGE_SEEDS", "48")) + 1)
+FOUND = (130, 180, 242, 253, 258, 283, 317, 440, 516, 530)  # stood still once: see docs/change.md
+SEEDS = sorted({*range(1, int(os.environ.get("CHANGE_SEEDS", "48")) + 1), *FOUND})
 RULES = (MATERIALS / "openapi.yaml").read_bytes()
 CUSTOMERS = (MATERIALS / "customers.json").read_bytes()
 
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -532,3 +532,14 @@
     assert configuration(known=known).known.generation == 90
     house = run(good, test=lambda house: None, known=known)
     assert house.life.tracker.generation == 1
+
+
+def test_the_platforms_process_knows_nothing_of_fleet_versions():
+    """It loads none of their modules nor their library, so it can open, read and send nothing of theirs."""
+    code = (
+        "import sys, orchidlane.platform.__main__, orchidlane.platform.life;"
+        "print([name for name in sys.modules if name.startswith(("
+        "'orchidlane.change', 'orchidlane.gateway.versions', 'orchidlane.gateway.program', 'blake3'))])"
+    )
+    done = subprocess.run([sys.executable, "-c", code], capture_output=True, text=True, timeout=30)
+    assert done.stdout.strip() == "[]", done.stdout + done.stderr
