--- a/orchidlane/gateway/versions/desk.py
+++ b/orchidlane/gateway/versions/desk.py
@@ -155,7 +155,10 @@
 
     def _pass_on(self, order: Order, latest: Ledger) -> Answer:
         if order.passed_on or latest.leader in (-1, self.versions.rank):
-            gone = f"nobody leads: gateway {latest.leader} did in term {latest.term}"
+            gone = (
+                f"nobody leads: gateway {latest.leader} did in term {latest.term}; without a quorum of voters"
+                " nothing changes, and what runs is served for a lease after their last word"
+            )
             return self._tell(Outcome(False, gone, again=True))
         body = msgspec.msgpack.encode(msgspec.structs.replace(order, passed_on=True))
         return self._ask_leader("POST", PREFIX + b"command", body, latest.leader)
--- a/tests/processes/fleets.py
+++ b/tests/processes/fleets.py
@@ -23,6 +23,7 @@
         "every": "100ms",
         "soak": "0s",
     }
+    terms["silence"] = "1500ms"  # a busy machine holds processes up: that is no dead leader
     terms |= change
 
     def edit(value):
