All customers of two versions are compared beside the loop; dead names out

Need: seen by reading the whole change again: as a gateway adopts, and as a voter checks, it went through all customers of both versions on the loop (Versions._adopt, _why_not), up to a million, though both were read beside it. Change: the comparison is made beside the loop, too, and the look whether another version is wanted meanwhile comes after it. Out: Ledger.version, Versions._started and a parameter of Register.learn, which nothing used. No behaviour changes.

--- a/orchidlane/change/ledger.py
+++ b/orchidlane/change/ledger.py
@@ -87,10 +87,6 @@
         known |= {one.number: one for one in (self.current.version, *under_way)}
         return [known[number] for number in sorted(known, reverse=True)]
 
-    def version(self, number: int) -> Version | None:
-        """One of them."""
-        return next((one for one in self.versions() if one.number == number), None)
-
 
 def encode(ledger: Ledger) -> bytes:
     """A ledger as bytes, the same ones anywhere."""
--- a/orchidlane/change/quorum.py
+++ b/orchidlane/change/quorum.py
@@ -217,7 +217,7 @@
 
         return self._handle(now, take)
 
-    def learn(self, now: int, ledger: Ledger, name: str) -> list[Action]:
+    def learn(self, now: int, ledger: Ledger) -> list[Action]:
         """A chosen ledger that others told of."""
 
         def take() -> None:
--- a/orchidlane/gateway/versions/shell.py
+++ b/orchidlane/gateway/versions/shell.py
@@ -74,8 +74,7 @@
         names = [entry.name for entry in fleet.gateways]
         self.voters = [names.index(name) for name in terms.voters]
         self.files = Files(self.world, f"{fleet.state}/{program.entry.name}")
-        now, rng = self.loop.now(), self.world.random
-        count = len(fleet.gateways)
+        rng, count = self.world.random, len(fleet.gateways)
         self.spread = Spread(self.rank, count, self.voters, terms.lease, terms.every, rng)
         self.terms = conduct.Terms(terms.lease, terms.beat, terms.silence, terms.decide, _stages(fleet))
         self.book = Book()
@@ -99,7 +98,6 @@
         self._disk_failed = self._dirty = False
         self._told_why = "not started"
         self._founded_wait = ""
-        self._started = now
 
     # -- at a start
 
@@ -335,7 +333,7 @@
         self._look_at_target()
         if news and self.conductor is not None:
             now = self.loop.now()
-            self._put(lambda: self._register().learn(now, latest, name))
+            self._put(lambda: self._register().learn(now, latest))
         if news:
             change = latest.change
             self.log.info(
@@ -574,7 +572,9 @@
             old = self._read(latest.current.version.parts, latest.current.version.number)
         except UnfitContent as wrong:
             return f"the version that runs: {wrong}"
-        return why_not_beside(_material(old, self.fleet), _material(new, self.fleet))
+        fleet = self.fleet
+        why: str = self.world.aside(lambda: why_not_beside(_material(old, fleet), _material(new, fleet)))
+        return why
 
     # -- adopting
 
@@ -626,18 +626,28 @@
                 self.log.error("version not adopted", version=version.show(), why=str(wrong))
             self.why_behind = str(wrong)
             return
+        held, let_go = self._moved(program.knowledge, knowledge)
         if self.ledger is None or self.ledger.target(self.rank) != wanted:
             return  # another one since
-        before, after = accounts_of(program.knowledge, self.fleet), accounts_of(knowledge, self.fleet)
-        moved = moves(before, after)
-        self._begin_sets([n for n in moved if not after[n].held], knowledge)  # before they are served again
+        self._begin_sets(let_go, knowledge)  # before they are served again
         program.knowledge = knowledge
-        self._begin_sets([n for n in moved if after[n].held], knowledge)  # once they are served no more
+        self._begin_sets(held, knowledge)  # once they are served no more
         self.running, self.why_behind, self._reported = wanted, "", 0
         self.log.info("adopted", version=version.show(), base=version.base, author=version.author)
         self._look_at_target()
         self._remember()
 
+    def _moved(self, old: Knowledge, new: Knowledge) -> tuple[list[int], list[int]]:
+        """Whose parts begin anew: those held, and those served. All are looked at, so beside the loop."""
+
+        def compare() -> tuple[list[int], list[int]]:
+            before, after = accounts_of(old, self.fleet), accounts_of(new, self.fleet)
+            moved = moves(before, after)
+            return [n for n in moved if after[n].held], [n for n in moved if not after[n].held]
+
+        found: tuple[list[int], list[int]] = self.world.aside(compare)
+        return found
+
     def _begin_sets(self, moved: list[int], knowledge: Knowledge) -> None:
         """Tell the module of customers whose parts begin anew."""
         for number in moved:
