A lingering close, and the other side's end seen behind unread bytes, in both worlds

An end behind bytes that nobody reads was not visible at all: POLLIN says no more than that bytes wait.

Change: Lingering (RFC 9112 section 9.6) ends our side, reads and throws away, and closes once the other side has ended, too, or at a bound of time, bytes or connections. Streams tell waiting() and has_left() by a poll without waiting (POLLRDHUP, POLLHUP, POLLERR), watch_end() wakes a task at the end alone, and listeners try_accept(). A simulated close over unread bytes is a reset. A task that stops reading leaves another reader's place alone.

Ruled out: that unread bytes make the loop spin while only the end is watched (turns counted in a test).

--- a/orchidlane/loop/__init__.py
+++ b/orchidlane/loop/__init__.py
@@ -1,6 +1,7 @@
 """All waiting, clocks, randomness and I/O: greenlets over ``select.poll``, or in a simulated world."""
 
 from .errors import Cancelled, Closed, Expired, LoopError, NotConnected
+from .lingering import Lingering
 from .real import RealWorld
 from .scheduler import BACKGROUND, CONTROL, PEERS, REQUESTS, Loop, Process, Scope, Task
 from .simulated import Faults, SimWorld
@@ -17,6 +18,7 @@
     "Datagrams",
     "Expired",
     "Faults",
+    "Lingering",
     "Listener",
     "Loop",
     "LoopError",
--- /dev/null
+++ b/orchidlane/loop/lingering.py
@@ -0,0 +1,75 @@
+"""Lingering close (RFC 9112 section 9.6): connections end without a reset that destroys what was sent last.
+
+A close over bytes that nobody has read resets the connection, and a reset may overtake an answer that is
+still on its way. So our side ends first. What comes after that is read and thrown away, never used: whoever
+sent it finds the end and can't know that it was read. The socket is closed once the other side has ended,
+too, or at a bound: of time, of bytes, or of connections that end at once, where the one that has lingered
+longest goes.
+"""
+
+from __future__ import annotations
+
+from .errors import Closed, Expired
+from .scheduler import BACKGROUND, Loop, Scope
+from .world import Stream
+
+READ_MOST = 262_144  # bytes read and thrown away of one connection
+LOOK = 5_000  # microseconds between two looks whether any is left
+
+
+class Lingering:
+    """Connections that are ending: each at most for ``span`` microseconds, ``most`` at a time."""
+
+    def __init__(self, loop: Loop, scope: Scope, span: int, most: int) -> None:
+        self.loop = loop
+        self.scope = scope
+        self.span = span
+        self.most = most
+        self._ending: dict[Stream, None] = {}  # the longest first
+
+    def __len__(self) -> int:
+        return len(self._ending)
+
+    def close(self, stream: Stream) -> None:
+        """End a connection; never waits. No other task may read or write it any more."""
+        stream.end()
+        left = _read_out(stream, READ_MOST)
+        if not left:
+            return stream.close()
+        while len(self._ending) >= self.most:
+            longest = next(iter(self._ending))
+            del self._ending[longest]
+            longest.close()  # its task finds that and ends
+        self._ending[stream] = None
+        self.scope.spawn(self._linger, stream, left, kind=BACKGROUND, name="lingering")
+
+    def _linger(self, stream: Stream, left: int) -> None:
+        by = self.loop.now() + self.span
+        try:
+            while left:
+                stream.await_input(by)
+                left = _read_out(stream, left)
+        except (Closed, Expired):
+            pass
+        finally:
+            self._ending.pop(stream, None)
+            stream.close()
+
+    def wait(self, by: int) -> None:
+        """Wait until none is ending any more, at the latest until ``by``."""
+        while self._ending and self.loop.now() < by:
+            self.loop.sleep(min(LOOK, by - self.loop.now()))
+
+
+def _read_out(stream: Stream, left: int) -> int:
+    """Throw away what can be read at once; how many more bytes may come, 0 where nothing more is to be
+    read.
+    """
+    try:
+        while left > 0 and (data := stream.try_recv()) is not None:
+            if not data:
+                return 0
+            left -= len(data)
+    except Closed:
+        return 0
+    return max(0, left)
--- a/orchidlane/loop/real.py
+++ b/orchidlane/loop/real.py
@@ -26,6 +26,7 @@
 
 READ = select.POLLIN | select.POLLPRI
 WRITE = select.POLLOUT
+LEFT = select.POLLRDHUP  # the other side's end has come, behind whatever waits to be read
 ENDED = select.POLLERR | select.POLLHUP | select.POLLNVAL
 NO_DESCRIPTOR = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)
 # The listener's own errors of accept(2); all others are of the connection that came, or of the network
@@ -45,6 +46,7 @@
         self.random = random.Random(seed)
         self._offset = time.time_ns() - time.monotonic_ns()
         self._poller = select.poll()
+        self._glancer = select.poll()
         self._descriptors: dict[int, _Descriptor] = {}
         self.loop: Loop
 
@@ -70,6 +72,13 @@
         """Change what a descriptor is polled for."""
         self._poller.modify(descriptor.number, mask)
 
+    def glance(self, descriptor: _Descriptor, mask: int) -> int:
+        """What holds of a descriptor right now, whether polled for or not."""
+        self._glancer.register(descriptor.number, mask)
+        found = self._glancer.poll(0)
+        self._glancer.unregister(descriptor.number)
+        return found[0][1] if found else 0
+
     def forget(self, descriptor: _Descriptor) -> None:
         """A descriptor is closed."""
         if self._descriptors.pop(descriptor.number, None) is not None:
@@ -257,12 +266,12 @@
         self.drained = False
         loop = self.world.loop
         drop = 0
-        if events & (READ | ENDED):
+        if events & (READ | LEFT | ENDED):
             if self.reader is not None:
                 task, self.reader = self.reader, None
                 loop.wake(task)
             else:
-                drop |= READ
+                drop |= READ | LEFT
         if events & (WRITE | ENDED):
             if self.writer is not None:
                 task, self.writer = self.writer, None
@@ -287,11 +296,12 @@
     def wait_read(self, deadline: int | None) -> None:
         """Wait until something can be read."""
         self._want(READ)
-        self.reader = self.world.loop.current
+        task = self.reader = self.world.loop.current
         try:
             self.world.loop.park(deadline)
         finally:
-            self.reader = None
+            if self.reader is task:  # else somebody else reads on, who ends the connection
+                self.reader = None
         if self.closed:
             raise Closed("closed on our side")
 
@@ -311,6 +321,22 @@
         self._want(READ)
         self.reader = task
 
+    def watch_end(self, task: Task) -> None:
+        """Wake the task once the other side has ended; bytes that wait unread wake nobody."""
+        self._want(LEFT)
+        if self.mask & READ:
+            self.mask &= ~READ
+            self.world.want(self, self.mask)
+        self.reader = task
+
+    def waiting(self) -> bool:
+        """Whether something can be read at once, an end or an error among it."""
+        return not self.closed and self.world.glance(self, READ | LEFT) != 0
+
+    def has_left(self) -> bool:
+        """Whether the other side has ended or reset."""
+        return self.closed or self.world.glance(self, LEFT) != 0
+
     def share(self) -> socket.socket:
         """A second hold on the socket."""
         return self.sock.dup()
@@ -503,22 +529,29 @@
     def accept(self, deadline: int | None = None) -> RealStream:
         self.world.loop.breathe()
         while True:
-            if self.closed:
-                raise Closed("closed on our side")
             try:
-                sock, peer = self.sock.accept()
-            except BlockingIOError:
-                self.wait_read(deadline)
-                continue
-            except OSError as error:
-                if error.errno in NO_LISTENER:
-                    raise Closed(str(error)) from None
-                if error.errno in NO_DESCRIPTOR:
-                    raise NotConnected(str(error)) from None
+                if (stream := self.try_accept()) is not None:
+                    return stream
+            except OSError:  # of the connection that came: it was reset before we took it
                 self.world.loop.sleep(PAUSE)
                 continue
-            sock.setblocking(False)
-            return RealStream(self.world, sock, peer or self.address)
+            self.wait_read(deadline)
+
+    def try_accept(self) -> RealStream | None:
+        if self.closed:
+            raise Closed("closed on our side")
+        try:
+            sock, peer = self.sock.accept()
+        except BlockingIOError:
+            return None
+        except OSError as error:
+            if error.errno in NO_LISTENER:
+                raise Closed(str(error)) from None
+            if error.errno in NO_DESCRIPTOR:
+                raise NotConnected(str(error)) from None
+            raise
+        sock.setblocking(False)
+        return RealStream(self.world, sock, peer or self.address)
 
 
 class RealDatagrams(_Descriptor):
--- a/orchidlane/loop/simulated.py
+++ b/orchidlane/loop/simulated.py
@@ -250,6 +250,7 @@
         self.drained = False
         self.finished = False  # we send no more
         self.reader: Task | None = None
+        self.only_end = False  # the reader waits for the other side's end alone
         self.writer: Task | None = None
         self.holders = {process: None}
         self.local = False  # over a Unix socket
@@ -276,7 +277,8 @@
                 self.other._fail(None)
             return
         self.inbox.append(data)
-        self._wake_reader()
+        if not self.only_end:
+            self._wake_reader()
 
     def _end(self, _: Any) -> None:
         if self.world.is_cut(self.process, self.other.process):
@@ -331,19 +333,33 @@
             self.await_input(deadline)
 
     def watch(self, task: Task) -> None:
-        self.reader = task
+        self.reader, self.only_end = task, False
         if self.inbox or self.ended or self.reset:
             self.reader = None
             self.world.loop.wake(task)
 
+    def watch_end(self, task: Task) -> None:
+        self.reader, self.only_end = task, True
+        if self.ended or self.reset:
+            self.reader = None
+            self.world.loop.wake(task)
+
+    def waiting(self) -> bool:
+        return not self.closed and bool(self.inbox or self.ended or self.reset)
+
+    def has_left(self) -> bool:
+        return self.closed or self.ended or self.reset
+
     def await_input(self, deadline: int | None = None) -> None:
         if not (self.inbox or self.ended):
             self._check()
-            self.reader = self.world.loop.current
+            task = self.world.loop.current
+            self.reader, self.only_end = task, False
             try:
                 self.world.loop.park(deadline)
             finally:
-                self.reader = None
+                if self.reader is task:  # else somebody else reads on, who ends the connection
+                    self.reader = None
 
     def send(self, data: bytes, deadline: int | None = None) -> None:
         at = 0
@@ -380,8 +396,13 @@
             self.other._deliver(self.other._end, None)
 
     def close(self) -> None:
-        """What a dead process's tasks still do as they end changes nothing: it was killed where it stood."""
+        """What a dead process's tasks still do as they end changes nothing: it was killed where it stood.
+
+        Over bytes that nobody has read it is a reset, as in a kernel.
+        """
         if not self.closed and not self.world.loop.process.dead:
+            if self.inbox and not self.local:
+                return self.abort()
             self.end()
             self._leave()
 
@@ -505,6 +526,15 @@
         loop = self.world.loop
         loop.breathe()
         self._wait_for(self.queue, deadline)
+        return self._taken()
+
+    def try_accept(self) -> SimStream | None:
+        if self.closed:
+            raise Closed("closed on our side")
+        return self._taken() if self.queue else None
+
+    def _taken(self) -> SimStream:
+        loop = self.world.loop
         stream = self.queue.popleft()
         stream.holders, before = {loop.process: None}, stream.process
         self.world.streams.get(before, {}).pop(stream, None)
--- a/orchidlane/loop/world.py
+++ b/orchidlane/loop/world.py
@@ -32,6 +32,15 @@
     def watch(self, task: Task) -> None:
         """Wake the task once something can be read; holds until it did or until the next read."""
 
+    def watch_end(self, task: Task) -> None:
+        """The same once the other side has ended or reset the connection, whatever waits to be read."""
+
+    def waiting(self) -> bool:
+        """Whether something can be read at once: bytes, the end of input, or that it was reset."""
+
+    def has_left(self) -> bool:
+        """Whether the other side has ended or reset the connection, seen behind bytes that wait unread."""
+
     def send(self, data: bytes, deadline: int | None = None) -> None:
         """Hand all bytes over; waits while the other side does not take them. Raises Closed, Expired."""
 
@@ -42,7 +51,7 @@
         """Send no more; reading goes on."""
 
     def close(self) -> None:
-        """End the connection in order; what was handed over is still brought."""
+        """End the connection at once; over unread bytes that is a reset, see ``Lingering``."""
 
     def abort(self) -> None:
         """Reset the connection."""
@@ -78,6 +87,9 @@
     def accept(self, deadline: int | None = None) -> Stream:
         """The next connection. Raises Closed, Expired, and NotConnected out of descriptors."""
 
+    def try_accept(self) -> Stream | None:
+        """One that waits already, None where there is none. Raises Closed, and NotConnected as above."""
+
     def share(self) -> Handle:
         """A second hold on the address and those who wait there."""
 
