A broken watch is replaced in time, lists may be indented, and an end has its sum of times

Lines at fault: discovery.SILENCE, AGAIN_MOST, Watch.work, whole_lines, Tracker._older/_changes, life.STAY/SPARE.

Change: platform/asking.py decides without I/O when to ask (2.5 s of silence, then a call every half of the grace, four beside one another, none while a watch speaks), its sum stands beside the constants and in a test. Objects tells JSON objects apart however they come. The tracker remembers who left (bounded) and what drains. ending.py: STAY is the 0.4 s of new connections plus 0.1 s, so that STAY + longest deadline + SPARE is when we are killed and each request that came has all its time. GET /up waits for discovery, for the grace at most.

--- a/orchidlane/gateway/watch.py
+++ b/orchidlane/gateway/watch.py
@@ -9,7 +9,7 @@
 from .. import interface as api
 from ..http1 import Malformed
 from ..loop import Loop, LoopError
-from .lines import LineTooLong, whole_lines
+from .lines import LineTooLong, whole_objects
 from .nodelist import LINE_MOST, ListRefused, ListTracker
 from .settings import Fleet, address
 
@@ -71,8 +71,8 @@
                     [(b"host", where.encode()), (b"user-agent", b"orchidlane " + self.name.encode())],
                 )
             )
-            for lines in whole_lines(self.loop, stream, SILENCE, LINE_MOST):
-                for line in lines:
+            for objects in whole_objects(self.loop, stream, SILENCE, LINE_MOST):
+                for line in objects:
                     if (listed := self.tracker.take(line)) is not None:
                         self.told(listed)
         finally:
--- a/orchidlane/platform/config.py
+++ b/orchidlane/platform/config.py
@@ -17,6 +17,8 @@
 from ..loop.world import parse_address
 from .discovery import ListLine
 
+SOCKETS_LEAST = 64  # descriptors: less leaves too few beside those that are kept free (``terms.py``)
+
 
 class ConfigError(Exception):
     """The configuration can't be used; says which file or variable, which field, and why."""
@@ -94,6 +96,10 @@
         module = wire.parse_settings(settings)
     except (msgspec.DecodeError, UnicodeDecodeError, wire.WireError) as wrong:
         raise ConfigError(f"{file}: {wrong}") from None
+    if not SOCKETS_LEAST <= found.limits.sockets < 1 << 31:
+        raise ConfigError(
+            f"{file}: limits.sockets: found {found.limits.sockets}, allowed: from {SOCKETS_LEAST} on"
+        )
     try:
         seed = int(found.seed, 16)
     except ValueError:
--- a/orchidlane/platform/discovery.py
+++ b/orchidlane/platform/discovery.py
@@ -2,34 +2,35 @@
 
 The tracker brings lines into the order that the module relies on. A node is its ``instanceId``; where it
 listens is told with it and may change. Rule 3 makes old news dangerous: a line that is older than what is
-known of a node must not make it ready again. So changes with a generation that is not newer are passed over,
-and of a whole list with an older generation (a service that began anew, or an agent that is behind) only
-nodes that are not known count, until its generations have passed ours.
+known of a node must not make it ready again. So changes with a generation that is not newer are passed over.
+A whole list with an older generation (a service that began anew, or an agent that is behind) takes nothing
+away, and until its generations have passed ours an entry of it makes a node ready only where we know nothing
+of that node, neither that it drains nor that it left, or where it has started again since.
 """
 
 from __future__ import annotations
 
 from collections.abc import Callable
+from contextlib import suppress
 from dataclasses import dataclass, field
 
 import msgspec
 
 from .. import http1
 from .. import interface as api
-from ..gateway.lines import LineTooLong, whole_lines
+from ..gateway.lines import LineTooLong, whole_objects
 from ..gateway.nodelist import ListRefused
 from ..http1 import Malformed
-from ..loop import Address, Loop, LoopError
+from ..loop import CONTROL, Address, Expired, Loop, LoopError, Scope, Task
 from ..loop.world import parse_address, show
+from .asking import SILENCE, Asking
 
 PHASES = {"active": api.Phase.READY, "leaving": api.Phase.DRAINING, "left": api.Phase.GONE}
 GUARD = {api.Phase.READY: "ready", api.Phase.DRAINING: "draining", api.Phase.GONE: "gone"}  # see ``guards``
 LINE_MOST = 4 << 20  # bytes of one line
 NODES_MOST = 10_000
 NAMES_MOST = 256  # zones that the settings do not name
-CONNECT = 1_000_000  # microseconds
-SILENCE = 6_500_000  # three heartbeats: then the service is asked anew
-AGAIN_FIRST, AGAIN_MOST = 100_000, 1_600_000  # microseconds between two tries, doubled each time
+LEFT_LEAST = 256  # nodes that left lately which are remembered, or twice as many as there are
 
 
 class Instance(msgspec.Struct, frozen=True, rename="camel"):
@@ -61,9 +62,10 @@
 
     zones: tuple[str, ...]
     generation: int = -1
-    nodes: dict[bytes, api.Phase] = field(default_factory=dict)
+    nodes: dict[bytes, api.ServerEntry] = field(default_factory=dict)
     places: dict[bytes, Address] = field(default_factory=dict)
     behind: int = -1  # the newest generation known, while a list that began anew is older
+    left: dict[bytes, int] = field(default_factory=dict)  # nodes that left lately, when they had started
     _numbers: dict[str, int] = field(default_factory=dict)
 
     def __post_init__(self) -> None:
@@ -85,7 +87,8 @@
         if line.generation < max(self.generation, self.behind):
             return self._older(line, news)
         self.generation, self.behind = line.generation, -1
-        self.nodes, self.places = {}, {}
+        for server in self.nodes.keys() - {entry.server for entry, _ in news}:
+            self._leave(server)
         for entry, place in news:
             self._put(entry, place)
         return _listed(whole, line.generation, news)
@@ -93,32 +96,58 @@
     def _changes(self, line: ListLine, news: News) -> api.ServerListed | None:
         if line.generation <= self.generation:
             return None
+        if line.generation <= self.behind:
+            return self._older(line, news)
+        self._check_room(news)
         self.generation = line.generation
         for entry, place in news:
             self._put(entry, place)
-        if len(self.nodes) > NODES_MOST:
-            raise ListRefused(f"{len(self.nodes)} instances, allowed: {NODES_MOST}")
         return _listed(api.ListKind.CHANGES, line.generation, news)
 
     def _older(self, line: ListLine, news: News) -> api.ServerListed | None:
         """What is known stays; changes go on from the older generation."""
+        fresh = [(entry, place) for entry, place in news if self._counts(entry)]
+        self._check_room(fresh)
         self.behind = max(self.generation, self.behind)
         self.generation = line.generation
-        fresh = [(entry, place) for entry, place in news if entry.server not in self.nodes]
         for entry, place in fresh:
             self._put(entry, place)
         return _listed(api.ListKind.CHANGES, self.behind, fresh) if fresh else None
 
+    def _counts(self, entry: api.ServerEntry) -> bool:
+        """Guards against old news that make a node ready: whether an older list's word on it counts."""
+        known = self.nodes.get(entry.server)
+        if known is not None:
+            newer = entry.launched > known.launched
+            return newer or (entry.phase is not api.Phase.READY and entry.launched == known.launched)
+        return entry.phase is not api.Phase.GONE and entry.launched > self.left.get(entry.server, -1)
+
+    def _check_room(self, news: News) -> None:
+        """Refuse before anything has changed."""
+        size = len(self.nodes) + sum(entry.server not in self.nodes for entry, _ in news)
+        if size > NODES_MOST:
+            raise ListRefused(f"{size} instances, allowed: {NODES_MOST}")
+
     def _put(self, entry: api.ServerEntry, place: Address | None) -> None:
         if place is None:
-            self.nodes.pop(entry.server, None)
-            self.places.pop(entry.server, None)
+            self._leave(entry.server)
         else:
-            self.nodes[entry.server], self.places[entry.server] = entry.phase, place
+            self.nodes[entry.server], self.places[entry.server] = entry, place
+            self.left.pop(entry.server, None)
+
+    def _leave(self, server: bytes) -> None:
+        """Nodes always new must not cost memory: those that left longest ago are forgotten."""
+        known = self.nodes.pop(server, None)
+        self.places.pop(server, None)
+        if known is not None:
+            self.left[server] = known.launched
+        while len(self.left) > max(LEFT_LEAST, 2 * len(self.nodes)):
+            del self.left[next(iter(self.left))]
 
     def phase(self, server: bytes) -> str:
         """What the list last said of a node."""
-        return GUARD[self.nodes.get(server, api.Phase.GONE)]
+        known = self.nodes.get(server)
+        return GUARD[known.phase if known is not None else api.Phase.GONE]
 
     def _checked(self, line: ListLine) -> News:
         if len(line.instances) > NODES_MOST:
@@ -167,36 +196,63 @@
         tracker: Tracker,
         told: Callable[[api.ServerListed], None],
         failed: Callable[[str], None],
+        again: int,
     ) -> None:
         self.loop = loop
         self.tracker = tracker
         self.told = told
         self.failed = failed
+        self.asking = Asking(again)
+        self._calls: dict[int, Task] = {}
+        self._why = ""  # a call failed last time: told once
+        self._wake: Callable[[], None]  # the task that asks
 
     def work(self, at: Address, followed: Callable[[], None] = lambda: None) -> None:
-        """Follow for ever; failures are waited out. ``followed`` is called once news come from there."""
-        span = AGAIN_FIRST
-        while True:
-            began = self.loop.now()
-            try:
-                self._follow(at, followed)
-            except (LoopError, Malformed, LineTooLong, ListRefused) as wrong:
+        """Follow for ever, by ``asking``. ``followed`` is called once something is said there."""
+        main = self.loop.current
+        assert main is not None
+        self._wake = lambda: self.loop.wake(main)
+        with Scope(self.loop) as scope:
+            while True:
+                number, given_up = self.asking.ask(self.loop.now())
+                self._give_up(given_up)
+                if number is not None:
+                    call = scope.spawn(self._call, number, at, followed, kind=CONTROL, name="call")
+                    self._calls[number] = call
+                with suppress(Expired):
+                    self.loop.park(self.asking.next_look())
+
+    def _give_up(self, numbers: list[int]) -> None:
+        for number in numbers:
+            self.loop.cancel(self._calls[number])
+
+    def _call(self, number: int, at: Address, followed: Callable[[], None]) -> None:
+        """One call from its begin to its end, which the next one may wait for."""
+        try:
+            self._follow(number, at, followed)
+        except (LoopError, Malformed, LineTooLong, ListRefused) as wrong:
+            if str(wrong) != self._why:
+                self._why = str(wrong)
                 self.failed(f"discovery: {wrong}")
-            span = AGAIN_FIRST if self.loop.now() - began > AGAIN_MOST else min(AGAIN_MOST, 2 * span)
-            self.loop.sleep(int(span * (0.5 + 0.5 * self.loop.world.random.random())))
+        finally:
+            del self._calls[number]
+            self.asking.ended(number, self.loop.now())
+            self._wake()
 
-    def _follow(self, at: Address, followed: Callable[[], None]) -> None:
-        stream = self.loop.world.connect(at, self.loop.now() + CONNECT)
+    def _follow(self, number: int, at: Address, followed: Callable[[], None]) -> None:
+        stream = self.loop.world.connect(at)
         try:
             target = "/discovery/hosts?watch=1"
             if self.tracker.generation >= 0:
                 target += f"&from={self.tracker.generation}"
-            head = http1.request_head("GET", target.encode(), [(b"host", show(at).encode())])
-            stream.send(head, self.loop.now() + CONNECT)
-            for lines in whole_lines(self.loop, stream, SILENCE, LINE_MOST):
-                for line in lines:
+            stream.send(http1.request_head("GET", target.encode(), [(b"host", show(at).encode())]))
+            for piece, objects in enumerate(whole_objects(self.loop, stream, SILENCE, LINE_MOST)):
+                self._give_up(self.asking.spoke(number))
+                for line in objects:
                     if (listed := self.tracker.take(line)) is not None:
                         self.told(listed)
-                followed()
+                    self._why = ""
+                if piece:  # more than a head
+                    followed()
         finally:
             stream.close()
--- a/orchidlane/platform/life.py
+++ b/orchidlane/platform/life.py
@@ -1,15 +1,18 @@
 """The life of one gateway on the platform: its parts, start, SIGHUP, SIGTERM and end.
 
 After SIGTERM clients go on to connect and to use what they have for a while; all that comes then is owed an
-answer. So for ``STAY`` nothing changes but ``GET /up``; then no more connections are taken, those between two
-requests are closed, each answer closes its own, and the end comes once all is answered. The platform kills no
-sooner than ``STAY`` after the longest deadline, of which it counts ``COUNTED`` at most: a request that comes
-meanwhile is told that it has no more time than that, and what an older one still waits for is given up then.
+answer. So for a while nothing changes but ``GET /up``; then no more connections are taken, those between two
+requests are closed, each answer closes its own, and the end comes once all is answered (``ending.py``).
+
+A gateway counts as told from its first moment of what discovery has, and it starts with a list that may be
+old. So ``GET /up`` says 200 once discovery spoke. While that is silent no more can be known: then the grace
+of drains, in which an old list may be gone by, is waited for and no longer.
 """
 
 from __future__ import annotations
 
 from collections.abc import Callable
+from contextlib import suppress
 from typing import Any
 
 from .. import interface as api
@@ -19,24 +22,29 @@
 from ..gateway.upstream import Upstream
 from ..loop import BACKGROUND, CONTROL, PEERS, Address, Loop, Scope, Task
 from ..rules import Gateway
+from .asking import again_after
 from .calls import Reader
 from .clients import PlatformClients
 from .config import Config, ConfigError, parse
 from .discovery import ListRefused, Tracker, Watch
+from .ending import Ending, ending
 from .log import Log
 from .outcomes import PlatformNodes
 from .terms import terms_of
 
-STAY = 720_000  # microseconds after SIGTERM in which all goes on as before
-COUNTED = 3_000_000  # microseconds: the longest deadline counts as this at most
-SPARE = 250_000  # microseconds before we are killed at which nothing is waited for any more
-BIND_MOST = 2_000_000  # microseconds in which an address that a dead process of ours held may come free
+BIND_MOST = (
+    8_000_000  # microseconds in which an address that a process of ours held may come free: ready in 10 s
+)
 RETRY = 100_000  # microseconds until a task that failed begins anew
 REPORT = 10_000_000  # microseconds between two lines of the log on what passed
 WATCHES_MOST = 2  # of the list: the one before is followed until the new one speaks
 DATAGRAM_MOST = 256  # bytes
 
 
+class _Stopped(Exception):
+    """We were told to end before we had begun."""
+
+
 class Life:
     """One gateway from its start to its end; ``stop`` and ``reload`` come from signals."""
 
@@ -56,18 +64,21 @@
         self._watching: list[Task] = []  # the newest last
         self._following: Address = config.discovery
         self._main: Task | None = None
-        self._last = 0  # when nothing is waited for any more, once we end
+        self._known_until = loop.now() + config.settings.drain_grace  # the list may be as old as it was given
+        self._heard = False  # discovery has told something
+        self._ending = Ending(0, 0, 0)  # once we end
 
     def run(self) -> None:
         """The main task."""
         with Scope(self.loop) as scope:
             self.scope = scope
-            self._build(scope)
-            self._start(scope)
             self._main = self.loop.current
-            while not self.stopping:
-                self.loop.park()
-            self._end()
+            self._build(scope)
+            with suppress(_Stopped):
+                self._start(scope)
+                while not self.stopping:
+                    self.loop.park()
+                self._end()
             scope.cancel()
         self.log.say("ended")
 
@@ -77,7 +88,7 @@
         may = config.names.permissions
         reader = Reader(config.settings, config.names)
         self.clients = PlatformClients(
-            reader, int(may.open_cap) or terms.bounds.connections, may.retry_after, lambda: not self.stopping
+            reader, int(may.open_cap) or terms.bounds.connections, may.retry_after, self._is_ready
         )
         rules = Gateway(config.settings, config.seed, loop.now())
         upstream = Upstream(loop, terms, scope, PlatformNodes(self.tracker, config.settings.report_names))
@@ -87,6 +98,10 @@
         self.front = Front(loop, terms, self.host, self.clients, scope)
         self.host.contain = self.front.contain = self.log.contain
 
+    def _is_ready(self) -> bool:
+        """What ``GET /up`` says."""
+        return not self.stopping and (self._heard or self.loop.now() >= self._known_until)
+
     def _start(self, scope: Scope) -> None:
         """The list as last known first; then all the rest, and clients last."""
         if self.config.known is not None:
@@ -104,9 +119,13 @@
             self.log.say(f"peers: {told}, those without one are not told")
 
     def _bind(self, bind: Callable[[Address], Any], at: Address) -> Any:
-        """A socket at an address. The process before us may not be gone yet; raises OSError after a while."""
+        """A socket at an address. The process before us may not be gone yet; raises OSError after a while,
+        and _Stopped.
+        """
         by = self.loop.now() + BIND_MOST
         while True:
+            if self.stopping:
+                raise _Stopped
             try:
                 return bind(at)
             except OSError:
@@ -159,7 +178,8 @@
             while task in self._watching and self._watching[0] is not task:
                 self.loop.cancel(self._watching.pop(0))
 
-        watch = Watch(self.loop, self.tracker, self._listed, self.log.say)
+        again = again_after(self.config.settings.drain_grace)
+        watch = Watch(self.loop, self.tracker, self._listed, self.log.say, again)
         task = self._spawn(watch.work, at, followed, kind=CONTROL, name="list")
         self._watching.append(task)
         while len(self._watching) > WATCHES_MOST:
@@ -167,6 +187,7 @@
         self._following = at
 
     def _listed(self, listed: api.ServerListed) -> None:
+        self._heard = True
         self.host.feed(listed)
         for entry in listed.entries:
             if entry.phase is api.Phase.GONE:
@@ -193,8 +214,8 @@
         if self.stopping:
             return
         self.stopping = True
-        longest = max((cls.deadline for cls in self.config.settings.classes), default=COUNTED)
-        self._last = self.loop.now() + min(longest, COUNTED) + STAY - SPARE
+        longest = max((cls.deadline for cls in self.config.settings.classes), default=0)
+        self._ending = ending(self.loop.now(), longest)
         if self._main is not None:
             self.loop.wake(self._main)
 
@@ -220,11 +241,12 @@
 
     def _end(self) -> None:
         self.log.say("ends")
-        self.front.last = self._last
-        self.loop.sleep(STAY)
+        leave, last, end = self._ending
+        self.front.last = last
+        self.loop.sleep(leave - self.loop.now())
         self.front.drain()
-        if not self.front.wait_left(self._last):
+        if not self.front.wait_left(last):
             for exchange in list(self.host.exchanges.values()):
                 self.host.overdue(exchange)
-            self.front.wait_left(self._last + SPARE // 2)  # for the last answers to be taken
+            self.front.wait_left(end)
         self._sum_up()
--- a/orchidlane/platform/terms.py
+++ b/orchidlane/platform/terms.py
@@ -1,17 +1,23 @@
 """Bounds and times of one gateway, from the limits of its machine. No table on requests: only room.
 
-Descriptors: a twentieth, at least ``REST``, is for all that is no connection of clients or nodes. A third of
-the whole is held at most by clients with requests, each with an attempt or two; the rest of the clients' part
-is for those that are silent or rude.
+Descriptors: ``REST`` are for all that is no connection of clients or nodes, so that discovery and the
+datagrams get theirs whoever fills the rest, and two sixteenths of the others for connections that are ending.
+A third of the whole is held at most by clients with requests, each with an attempt or two; the rest of the
+clients' part is for those that are silent or rude, and nodes have a part of their own.
 """
 
 from __future__ import annotations
 
 from dataclasses import dataclass
 
+from .asking import CALLS
 from .config import Config
 
-REST = 20  # descriptors: standard streams, listener, datagrams, discovery, signals, files
+# Descriptors: 3 standard streams, a listener, datagrams, 2 of the pipe of signals, the file of a reload, a
+# client that was taken and has no room yet, and discovery: 2 watches, each with CALLS and one that it gives
+# up for them
+REST = 9 + 2 * (CALLS + 1) + 5  # the last 5: for what the interpreter opens now and then
+LINGERING_SHARE = 1 / 16  # of the others: connections that are ending, of clients and as many of nodes
 CLIENTS_SHARE = 0.58  # of the others
 BODY_MOST = 65_536  # bytes, by the protocol
 LINE_MOST = 2_048
@@ -28,6 +34,7 @@
     connections: int
     node_connections: int
     all_node_connections: int
+    lingering: int
     request_line: int = LINE_MOST
     request_head: int = HEAD_MOST
     request_headers: int = HEADERS_MOST
@@ -66,13 +73,15 @@
 def terms_of(config: Config) -> Terms:
     """What fits the machine."""
     sockets = int(config.limits.sockets)
-    room = max(8, sockets - max(REST, sockets // 20))
-    clients = max(4, int(room * CLIENTS_SHARE))
-    nodes = max(4, room - clients)
+    room = sockets - REST
+    lingering = int(room * LINGERING_SHARE)
+    room -= 2 * lingering
+    clients = int(room * CLIENTS_SHARE)
+    nodes = room - clients
     may = config.names.permissions
     idle = int(may.idle_close) or 10_000_000
     return Terms(
-        Bounds(connections=clients, node_connections=nodes, all_node_connections=nodes),
+        Bounds(connections=clients, node_connections=nodes, all_node_connections=nodes, lingering=lingering),
         Times(
             connect=int(may.connect_timeout) or 1_000_000,
             node_idle=int(idle * IDLE_SHARE),
