Connections end by a lingering close; no attempt leaves for a client that has gone

Change: all ends of clients' connections and of hosts' at rest go through Lingering; a connection with a request under way closes at once, which says that we gave up. drain and evict look whether something has come and serve it. The guards get client_left, by the socket's state. Not changed: a FIN behind more unread bytes than the machine takes has not come yet; nobody can know of it before the request's time is over.

--- a/orchidlane/gateway/exchange.py
+++ b/orchidlane/gateway/exchange.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections import deque
+from collections.abc import Callable
 from dataclasses import dataclass, field
 
 from .. import http1
@@ -170,6 +171,7 @@
     task: Task
     until: int  # clock time by which the final answer must have left
     arrived: int
+    client_left: Callable[[], bool]  # whether the client's connection has ended, by the socket's state
     answer: Answer | None = None
     gone: bool = False
     sends: int = 0
--- a/orchidlane/gateway/front.py
+++ b/orchidlane/gateway/front.py
@@ -13,7 +13,18 @@
 
 from .. import http1
 from ..http1 import Data, End, Malformed, Request
-from ..loop import REQUESTS, Closed, Expired, Listener, Loop, Scope, Stream, Task
+from ..loop import (
+    REQUESTS,
+    Closed,
+    Expired,
+    Lingering,
+    Listener,
+    Loop,
+    NotConnected,
+    Scope,
+    Stream,
+    Task,
+)
 from .door import NO_DESCRIPTOR_WAIT, accept_clients
 from .exchange import Answer, Body, Exchange
 from .seam import Call, Clients, Terms
@@ -21,7 +32,6 @@
 if TYPE_CHECKING:
     from .host import Host
 
-LINGER_MOST = 262_144  # bytes read on after an answer within a body
 OVERDUE = 5_000  # microseconds beyond a request's time: then the module's answer is waited for no more
 
 
@@ -70,6 +80,7 @@
         "last_recv",
         "number",
         "opened",
+        "over",
         "parser",
         "passed",
         "rested",
@@ -87,6 +98,7 @@
         self.task: Task | None = None
         self.between = False  # two requests: nothing of the next one is decided
         self.passed = False  # it is another process's now
+        self.over = False  # nothing more is read or answered here
 
 
 class Front:
@@ -110,6 +122,7 @@
         self.connections: dict[Connection, None] = {}
         self.newcomers: dict[Connection, None] = {}  # those that asked nothing yet, the oldest first
         self.idle: dict[Connection, None] = {}  # those between two requests, the longest idle first
+        self.lingering = Lingering(loop, scope, terms.times.linger, terms.bounds.lingering)
         self.listener: Listener
         self.pass_on: Callable[[Connection], None] | None = None  # gets each connection between two requests
         self.contain: Callable[[str, Exception], None] | None = None  # is told of failures, which end there
@@ -141,7 +154,7 @@
 
     def _pass(self, connection: Connection) -> None:
         assert self.pass_on is not None and connection.task is not None
-        connection.passed = True
+        connection.passed = connection.over = True
         self.newcomers.pop(connection, None)
         self.idle.pop(connection, None)
         self.connections.pop(connection, None)
@@ -191,28 +204,34 @@
                 self.loop.sleep(NO_DESCRIPTOR_WAIT)
 
     def _evict(self) -> bool:
-        """Close a client that has no request under way: silent newcomers first, then the longest idle one."""
+        """End a client that has no request under way: silent newcomers first, then the longest idle one."""
         least = self.loop.now() - self.times.idle_least
-        for waiting in (self.newcomers, self.idle):
-            connection = next(iter(waiting), None)
-            if connection is not None and connection.rested <= least:
+        for resting in (self.newcomers, self.idle):
+            connection = next(iter(resting), None)
+            # Guards against a close that crosses a request: what has come already is served.
+            if connection is not None and connection.rested <= least and not connection.stream.waiting():
                 self._forget(connection)
                 return True
         return False
 
     def _forget(self, connection: Connection) -> None:
+        """End a connection, from its own task or, where it has none of its own under way, from another."""
+        if connection.over:
+            return
+        connection.over = True
         self.newcomers.pop(connection, None)
         self.idle.pop(connection, None)
         self.connections.pop(connection, None)
-        if not connection.passed:
-            connection.stream.close()
-            if self.watcher is not None:
-                self.watcher.ended(connection.number)
+        self.lingering.close(connection.stream)
+        if self.watcher is not None:
+            self.watcher.ended(connection.number)
+        if connection.task is not None and connection.task is not self.loop.current:
+            self.loop.cancel(connection.task)
         if self._leaving is not None and not self.connections:
             self.loop.wake(self._leaving)
 
     def wait_left(self, by: int) -> bool:
-        """Wait until all clients have left; False where some have not by then."""
+        """Wait until all clients have left and their connections have ended; False where some have not."""
         self._leaving = self.loop.current
         try:
             while self.connections:
@@ -221,14 +240,34 @@
             return False
         finally:
             self._leaving = None
+        self.lingering.wait(by)
         return True
 
     def drain(self) -> None:
-        """Take no more connections or requests; what is under way goes on."""
+        """Take no more connections or requests; what is under way, or has come already, goes on.
+
+        Clients that wait at the listener are taken before it closes, which would reset them.
+        """
         self.draining = True
+        self.loop.cancel(self._accepting)
+        with suppress(Closed, NotConnected):
+            while len(self.connections) < self.bounds.connections:
+                if (stream := self._next_waiting()) is None:
+                    break
+                self._take(stream)
         self.listener.close()
         for connection in [*self.newcomers, *self.idle]:
-            self._forget(connection)
+            if self._is_at_rest(connection):
+                self._forget(connection)
+
+    def _next_waiting(self) -> Stream | None:
+        while True:
+            with suppress(OSError):  # a client that was reset before we took it
+                return self.listener.try_accept()
+
+    def _is_at_rest(self, connection: Connection) -> bool:
+        """Whether nothing of a next request has come, as far as our machine knows."""
+        return connection.between and not connection.parser.pending and not connection.stream.waiting()
 
     def _client(self, connection: Connection) -> None:
         try:
@@ -239,8 +278,8 @@
         except BaseException as wrong:
             if isinstance(wrong, Exception) and self.contain is not None:
                 return self._contain(connection, wrong)
-            if self.watcher is not None and not connection.passed:
-                connection.passed = True
+            if self.watcher is not None and not connection.over:
+                connection.over = True
                 connection.stream.release()  # we fail: the client is whoever's who stands by
             raise
         finally:
@@ -322,8 +361,11 @@
         (self.idle if known else self.newcomers)[connection] = None
         try:
             patience = self.times.idle if known else self.times.newcomer
-            if not parser.pending and (self.draining or not self._recv(connection, patience)):
-                return None
+            if not parser.pending:
+                if self.draining and not connection.stream.waiting():
+                    return None
+                if not self._first_bytes(connection, patience):
+                    return None
         except Expired:
             return None
         finally:
@@ -339,6 +381,16 @@
         assert isinstance(event, Request)
         return event
 
+    def _first_bytes(self, connection: Connection, patience: int) -> bool:
+        """Wait for a request to begin; False where the client left or stayed silent."""
+        try:
+            return self._recv(connection, patience)
+        except Expired:
+            if not connection.stream.waiting():
+                return False
+            # Guards against our own standing still: what came in the meantime is served.
+            return self._recv(connection, self.times.head)
+
     def _recv(self, connection: Connection, patience: int) -> bool:
         """Feed the parser once; False at the end of input."""
         by = self.loop.now() + patience
@@ -385,6 +437,7 @@
             until=connection.since + call.patience - self.times.client_margin,
             arrived=connection.since,
             awaits_continue=head.expects_continue,
+            client_left=connection.stream.has_left,
         )
 
     # -- until the answer is there
@@ -424,10 +477,10 @@
     def _read_on(self, connection: Connection, exchange: Exchange) -> bool:
         """Take what the client sent meanwhile; False where there is nothing, the task is woken then."""
         body = exchange.body
-        if not body.ended and body.full:
-            body.tell_when_room(exchange.task)
-            return False
-        if body.ended and connection.parser.pending >= self.bounds.pipelined:
+        if self._reads_no_more(connection, body):
+            if connection.stream.has_left():
+                raise Closed("the client left")
+            connection.stream.watch_end(exchange.task)
             return False
         data = None if connection.stream.drained else connection.stream.try_recv()
         if data is None:
@@ -439,6 +492,15 @@
         self._pump(connection, body)
         return True
 
+    def _reads_no_more(self, connection: Connection, body: Body) -> bool:
+        """Whether the bounds are reached: then a client's end lies behind bytes that stay unread."""
+        if body.ended:
+            return connection.parser.pending >= self.bounds.pipelined
+        if body.full:
+            assert self.loop.current is not None
+            body.tell_when_room(self.loop.current)
+        return body.full
+
     def _pump(self, connection: Connection, body: Body) -> None:
         """Bring what was parsed of the body over."""
         while not body.ended or body.length == 0:
@@ -466,8 +528,6 @@
         if self.watcher is not None:
             self.watcher.answering(connection.number)
         broken = not self._write(connection, head, answer, keep)
-        if not body_read:
-            self._linger(connection)
         if not keep or broken:
             return False
         if self.watcher is not None:
@@ -484,12 +544,12 @@
             self.watcher.answering(connection.number)
         data = self._head_of(answer, keep=False, length=len(answer.body)) + answer.body
         connection.stream.send(data, self.loop.now() + self.times.write)
-        self._linger(connection)
         return False
 
     def answer_alone(self, stream: Stream, answer: Answer) -> None:
-        """Answer a client whose request another process took and can't answer any more."""
+        """Answer a client whose request another process took and can't answer any more, and end."""
         self._write_last(Connection(stream, self.limits, self.loop.now(), -1), answer)
+        self.lingering.close(stream)
 
     def _head_of(self, answer: Answer, keep: bool, length: int | None) -> bytes:
         headers = answer.headers
@@ -535,13 +595,3 @@
         if chunked:
             connection.stream.send(http1.last_chunk(pieces.trailers), self.loop.now() + times.write)
         return chunked
-
-    def _linger(self, connection: Connection) -> None:
-        """Read on for a while, or the reset that unread bytes cause may overtake the answer."""
-        connection.stream.end()
-        by, left = self.loop.now() + self.times.linger, LINGER_MOST
-        try:
-            while left > 0 and (data := connection.stream.recv(deadline=by)):
-                left -= len(data)
-        except (Closed, Expired):
-            pass
--- a/orchidlane/gateway/guards.py
+++ b/orchidlane/gateway/guards.py
@@ -12,13 +12,15 @@
 from .. import interface as types
 
 MARGIN = 30_000  # microseconds before a keyed window ends: for the way to the node
+CLIENT_LEFT = "client"
 
 
 class Leaving(NamedTuple):
     """What is known of an attempt that is about to leave; times in microseconds.
 
     ``phase`` is what the list last said of the node, ``first_left`` when the first byte of the
-    request's first attempt that may have run left, None where none may have.
+    request's first attempt that may have run left, None where none may have; ``client_left`` is whether
+    the client's connection has ended, as its socket has it.
     """
 
     phase: str
@@ -26,10 +28,13 @@
     effect: types.Effect
     window: int
     first_left: int | None
+    client_left: bool
 
 
 def why_not(now: int, leaving: Leaving) -> str | None:
     """Why the attempt may not leave any more, or None."""
+    if leaving.client_left:
+        return CLIENT_LEFT
     if now >= leaving.give_up_at:
         return "deadline"
     if leaving.phase != "ready":
--- a/orchidlane/gateway/handover.py
+++ b/orchidlane/gateway/handover.py
@@ -586,7 +586,6 @@
         try:
             if kept.front == HTTP:
                 self.program.front.answer_alone(stream, failed())
-                stream.close()
             else:
                 resp, unread = self.program.resp, kept.unread if kept.state == "began" else None
                 resp.answer_alone(stream, unread, kept.session, resp.next_number())
--- a/orchidlane/gateway/schema.cue
+++ b/orchidlane/gateway/schema.cue
@@ -64,6 +64,7 @@
 	held_body:         *"256KiB" | #Size // kept for a further attempt
 	held_answer:       *"256KiB" | #Size // kept until the answer is complete
 	pipelined:         *"64KiB" | #Size // bytes of later requests
+	lingering:         *256 | int & >=1 // connections of clients that are ending; as many of nodes
 	nodes:             *10000 | int & >=1
 	customers:         *1000000 | int & >=1
 }
@@ -78,7 +79,7 @@
 	unsafe_idle:  *"200ms" | #Duration // the same for a request that may not run twice
 	client_margin: *"60ms" | #Duration // of the client's time kept for the way back
 	drain:        *"10s" | #Duration // requests under way after SIGTERM
-	linger:       *"1s" | #Duration // reading on after a refusal within a body
+	linger:       *"1s" | #Duration // from our end of a connection until it is closed
 }
 
 // Limits by RESP commands.
--- a/orchidlane/gateway/seam.py
+++ b/orchidlane/gateway/seam.py
@@ -102,6 +102,10 @@
     def pipelined(self) -> int:
         """What is read of a client's further requests while one is under way."""
 
+    @property
+    def lingering(self) -> int:
+        """Connections of clients that are ending, and as many of nodes; beyond it they close at once."""
+
 
 class Times(Protocol):
     """How long things may take, in microseconds."""
@@ -152,7 +156,7 @@
 
     @property
     def linger(self) -> int:
-        """Reading on after a last answer."""
+        """From our end of a connection until it is closed, if the other side does not end."""
 
 
 class Terms(Protocol):
--- a/orchidlane/gateway/settings.py
+++ b/orchidlane/gateway/settings.py
@@ -86,6 +86,7 @@
     held_body: Size
     held_answer: Size
     pipelined: Size
+    lingering: int
     nodes: int
     customers: int
 
--- a/orchidlane/gateway/upstream.py
+++ b/orchidlane/gateway/upstream.py
@@ -18,11 +18,22 @@
 from .. import http1
 from .. import interface as api
 from ..http1 import Data, End, Response
-from ..http1.parser import State
 from ..interface import Effect, Outcome
-from ..loop import BACKGROUND, Address, Cancelled, Closed, Expired, Loop, NotConnected, Scope, Stream, Task
+from ..loop import (
+    BACKGROUND,
+    Address,
+    Cancelled,
+    Closed,
+    Expired,
+    Lingering,
+    Loop,
+    NotConnected,
+    Scope,
+    Stream,
+    Task,
+)
 from .exchange import Answer, Exchange, Pieces
-from .guards import Leaving, why_not
+from .guards import CLIENT_LEFT, Leaving, why_not
 from .reuse import Reuse
 from .seam import Nodes, Terms
 
@@ -55,9 +66,10 @@
 class Pool:
     """Connections by node: idle ones are taken up again, the latest first; all are bounded."""
 
-    def __init__(self, loop: Loop, terms: Terms) -> None:
+    def __init__(self, loop: Loop, terms: Terms, scope: Scope) -> None:
         self.loop = loop
         self.times = terms.times
+        self.lingering = Lingering(loop, scope, terms.times.linger, terms.bounds.lingering)
         self.most = terms.bounds.node_connections
         self.most_in_all = terms.bounds.all_node_connections
         self.limits = http1.Limits(head=terms.bounds.request_head * 2, headers=terms.bounds.request_headers)
@@ -79,7 +91,7 @@
             if connection.address == address and self._is_fresh(connection, longest):
                 connection.rested = self.loop.now() - connection.idle_since
                 return connection
-            self.drop(server, connection)
+            self.retire(server, connection)
         if self._count.get(server, 0) >= self.most:
             raise NotConnected("as many connections as the settings allow")
         if self.open >= self.most_in_all and not self._drop_one():
@@ -110,7 +122,7 @@
         """Close an idle connection of the node whose latest came to rest first; False: none is idle."""
         for server, idle in self._idle.items():
             if idle:
-                self.drop(server, idle.popleft())
+                self.retire(server, idle.popleft())
                 return True
         return False
 
@@ -120,10 +132,15 @@
         self._idle.setdefault(server, deque()).append(connection)
 
     def drop(self, server: bytes, connection: Connection) -> None:
-        """The connection is out of step or not wanted."""
+        """A request is under way on it, or it is out of step: a close at once says that we gave up."""
         connection.stream.close()
         self._uncount(server)
 
+    def retire(self, server: bytes, connection: Connection) -> None:
+        """The connection is at rest and not wanted any more."""
+        self.lingering.close(connection.stream)
+        self._uncount(server)
+
     def _uncount(self, server: bytes) -> None:
         self.open -= 1
         self._count[server] -= 1
@@ -138,13 +155,13 @@
             for server in list(self._idle):
                 idle = self._idle.get(server)
                 while idle and self.loop.now() - idle[0].idle_since > self.times.node_idle:
-                    self.drop(server, idle.popleft())
+                    self.retire(server, idle.popleft())
 
     def forget(self, server: bytes) -> None:
         """The node is gone: its idle connections are of no use."""
         idle = self._idle.get(server)
         while idle:
-            self.drop(server, idle.popleft())
+            self.retire(server, idle.popleft())
 
 
 class Upstream:
@@ -157,7 +174,7 @@
         self.times = terms.times
         self.held_answer = terms.bounds.held_answer
         self.host: Host
-        self.pool = Pool(loop, terms)
+        self.pool = Pool(loop, terms, scope)
         scope.spawn(self.pool.sweep, kind=BACKGROUND, name="sweep")
 
     def begin(self, exchange: Exchange, number: int, action: api.Send) -> None:
@@ -234,8 +251,10 @@
             return Outcome.NOT_CONNECTED, None
         except NoRoom:
             return Outcome.NEVER_SENT, None
-        if why_not(self.loop.now(), self._leaving()) is not None:
+        if (why := why_not(self.loop.now(), self._leaving())) is not None:
             self.up.pool.give_back(self.server, connection)
+            if why == CLIENT_LEFT:  # its front may not have run since: it waits as we did
+                self.up.host.client_gone(self.exchange)
             return Outcome.NEVER_SENT, None
         keep = False
         try:
@@ -258,7 +277,9 @@
     def _leaving(self) -> Leaving:
         cls = self.exchange.cls
         phase = self.up.nodes.phase(self.server)
-        return Leaving(phase, self.give_up_at, cls.effect, cls.window, self.exchange.first_left)
+        exchange = self.exchange
+        left = exchange.client_left()
+        return Leaving(phase, self.give_up_at, cls.effect, cls.window, exchange.first_left, left)
 
     # -- over one connection
 
@@ -367,8 +388,6 @@
         outcome = nodes.outcome(head)
         if outcome is not Outcome.SERVED:
             return outcome, None, self._drain(connection, head)
-        if not nodes.passes_streams and connection.parser.state is State.UNTIL_END:
-            return Outcome.BROKEN, None, False  # nothing tells a whole one from one that was cut
         answer = nodes.answer(self.exchange, head)
         held, size = [], 0
         while not isinstance(event := self._next(connection), End):
--- a/tests/test_parts.py
+++ b/tests/test_parts.py
@@ -146,6 +146,7 @@
         "effect": api.Effect.KEYED,
         "window": SECOND,
         "first_left": None,
+        "client_left": False,
     }
     return Leaving(**(values | changes))
 
@@ -161,6 +162,8 @@
         ({"first_left": NOW - SECOND}, "window"),
         ({"first_left": NOW - SECOND, "effect": api.Effect.SAFE}, None),
         ({"first_left": NOW, "effect": api.Effect.UNSAFE}, "unsafe"),
+        ({"client_left": True}, "client"),
+        ({"client_left": True, "first_left": NOW - SECOND // 2}, "client"),
     ],
 )
 def test_what_broke_a_rule_meanwhile_does_not_leave(changes, why):
