Real processes under SIGTERM, SIGSTOP, full descriptors and bad configurations

Orders are forced: the process is stopped, all of it is sent, and it goes on.

The test plays hosts, clients and discovery's agent itself. Descriptors are limited by the machine (RLIMIT_NOFILE) to what the configuration says, 64 and 256: discovery's calls, hosts' connections, a reload and new clients get theirs with every client's place taken by an idle one.

--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -22,7 +22,7 @@
 )  # real sockets, all cores
 
 
-EACH_BY_ITSELF = ("change_model", "change_processes")  # long, and they share nothing
+EACH_BY_ITSELF = ("change_model", "change_processes", "platform_processes")  # long, and they share nothing
 
 
 def pytest_collection_modifyitems(items: list[pytest.Item]) -> None:
--- /dev/null
+++ b/tests/processes/test_platform_processes.py
@@ -0,0 +1,234 @@
+"""A real gateway of the platform under signals, full descriptors and pauses; audited by what its sockets
+said.
+"""
+
+from __future__ import annotations
+
+import json
+import os
+import select
+import signal
+import socket
+import subprocess
+import sys
+import threading
+from contextlib import ExitStack, suppress
+
+import pytest
+from platformhouse import OK, call, file, settings
+
+from processes.platforms import UP, WAIT, Platform, listener, request_at, to_the_end, until
+
+LAST = OK.replace(
+    b"\r\n\r\n", b"\r\nConnection: close\r\n\r\n"
+)  # each request comes on a connection of its own
+
+
+def answer_at(host: socket.socket) -> None:
+    """Answer the next request of a host."""
+    stream, _ = request_at(host)
+    with stream:
+        stream.sendall(LAST)
+
+
+def hosts_with_requests(gateway: Platform) -> list[socket.socket]:
+    """Wait for a connection at any of the hosts."""
+    ready, _, _ = select.select(gateway.hosts, [], [], WAIT)
+    assert ready, "no request came"
+    return ready
+
+
+def got_by(*hosts: socket.socket) -> bytes:
+    """What has come at hosts on connections that nobody took yet; one without a request is no harm."""
+    found = b""
+    while ready := select.select(hosts, [], [], 0)[0]:
+        for host in ready:
+            stream, _ = host.accept()
+            with stream:
+                found += stream.recv(65_536) if select.select([stream], [], [], 0)[0] else b""
+    return found
+
+
+# -- SIGTERM
+
+
+def test_sigterm_finds_a_request_at_each_stage_and_each_is_answered_once(tmp_path):
+    with Platform(tmp_path, hosts=8) as gateway, ExitStack() as streams:
+        names = ("at rest", "half a head", "half a body", "sent", "half answered", "after")
+        client = {name: streams.enter_context(gateway.connect()) for name in names}
+        raw = call("put", body=b"x" * 50, left="1.900")
+        for name in ("sent", "half answered"):
+            client[name].sendall(call(left="1.900"))
+        out = []
+        while len(out) < 2:
+            out += [request_at(host) for host in hosts_with_requests(gateway)]
+        out[0][0].sendall(LAST[:-1])
+        client["half a head"].sendall(raw[:30])
+        client["half a body"].sendall(raw[:-10])
+        gateway.signal(signal.SIGSTOP)  # it finds all of this at once
+        gateway.signal(signal.SIGTERM)
+        client["after"].sendall(call(left="1.900"))
+        client["half a body"].sendall(raw[-10:])
+        client["half a head"].sendall(call("put", body=b"x" * 50, left="1.900")[30:])
+        gateway.signal(signal.SIGCONT)
+        out[0][0].sendall(LAST[-1:])
+        out[1][0].sendall(LAST)
+        served = 0
+        while served < 3:
+            for host in hosts_with_requests(gateway):
+                answer_at(host)
+                served += 1
+        found = {name: to_the_end(stream) for name, stream in client.items()}
+        assert {name: said.count(b"HTTP/1.1 200") for name, said in found.items()} == {
+            name: int(name != "at rest") for name in names
+        }
+        gateway.ended()
+        assert not got_by(*gateway.hosts)
+
+
+def test_what_comes_on_open_connections_until_the_end_is_answered_or_finds_an_end(tmp_path):
+    """Clients go on to send on every connection that stays open: no reset, no silence, nothing sent on
+    unanswered.
+    """
+    served: list[bytes] = []
+
+    def serve(host):
+        def one(stream):
+            with suppress(OSError):
+                while data := stream.recv(65_536):
+                    served.append(data)
+                    stream.sendall(OK)
+
+        with suppress(OSError):
+            while True:
+                threading.Thread(target=one, args=(host.accept()[0],), daemon=True).start()
+
+    with Platform(tmp_path, hosts=3) as gateway, ExitStack() as streams:
+        for host in gateway.hosts:
+            threading.Thread(target=serve, args=(host,), daemon=True).start()
+        clients = [streams.enter_context(gateway.connect()) for _ in range(8)]
+        gateway.signal(signal.SIGTERM)
+        gateway.signal(signal.SIGTERM)  # twice changes nothing
+        gateway.signal(signal.SIGHUP)  # nor does a reload between
+        answers, ends = 0, 0
+        while clients:
+            for stream in list(clients):
+                with suppress(BrokenPipeError):  # sent after the end had come
+                    stream.sendall(call())
+                if said := stream.recv(65_536):
+                    assert said.startswith((b"HTTP/1.1 200", b"HTTP/1.1 503"))
+                    answers += 1
+                else:
+                    ends += 1
+                    clients.remove(stream)
+        gateway.ended()
+        assert ends == 8 and answers >= len(served) > 0
+
+
+def test_sigterm_while_its_address_is_still_held_ends_it_at_once(tmp_path):
+    with listener() as holder:
+        port = holder.getsockname()[1]
+        with Platform(tmp_path, wait_up=False, listen=f"127.0.0.1:{port}") as gateway:
+            until(lambda: gateway.agent.calls)  # it has begun
+            gateway.signal(signal.SIGTERM)
+            gateway.ended()
+
+
+# -- pauses
+
+
+def test_a_gateway_that_stood_still_sends_nothing_on_for_clients_that_left_meanwhile(tmp_path):
+    with Platform(tmp_path, hosts=2) as gateway:
+        clients = [gateway.connect() for _ in range(6)]
+        gateway.signal(signal.SIGSTOP)
+        for number, stream in enumerate(clients):
+            stream.sendall(call("bill", body=b"1", left="2.000"))
+            if number % 2:  # by a reset, else by an end
+                stream.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, b"\1\0\0\0\0\0\0\0")
+            stream.close()
+        gateway.signal(signal.SIGCONT)
+        until(lambda: gateway.says(UP))
+        gateway.signal(signal.SIGTERM)
+        gateway.ended()
+        assert not got_by(*gateway.hosts)
+
+
+def test_a_gateway_that_stood_still_hears_of_drains_before_it_sends(tmp_path):
+    with Platform(tmp_path, hosts=2) as gateway, gateway.connect() as client:
+        gateway.signal(signal.SIGSTOP)
+        client.sendall(call(left="2.000"))
+        gateway.agent.tell(gateway.instance(0, "leaving"), gateway.instance(1))
+        gateway.signal(signal.SIGCONT)
+        answer_at(gateway.hosts[1])
+        assert client.recv(65_536).startswith(b"HTTP/1.1 200")
+        assert not got_by(gateway.hosts[0])
+
+
+# -- descriptors
+
+
+@pytest.mark.parametrize("sockets", [64, 256])
+def test_idle_clients_hold_all_that_they_may_and_all_else_still_gets_its_descriptors(tmp_path, sockets):
+    """While discovery is down, too: its calls, hosts' connections, a reload and further clients have room."""
+    with Platform(tmp_path, hosts=2, sockets=sockets) as gateway, ExitStack() as streams:
+        held = []
+        for _ in range(sockets):
+            held.append(streams.enter_context(gateway.connect()))
+        gateway.agent.go_down()
+        calls = gateway.agent.calls
+        until(lambda: gateway.agent.calls >= calls + 4)
+        for _ in range(sockets):
+            held.append(streams.enter_context(gateway.connect()))
+        gateway.agent.instances = [gateway.instance(0, "leaving"), gateway.instance(1)]
+        gateway.agent.generation += 1
+        gateway.agent.come_back()
+        said: list[bytes] = []
+        until(lambda: len(os.listdir(f"/proc/{gateway.process.pid}/fd")) <= sockets)
+
+        def ask():
+            said.append(gateway.says(call(left="2.000")))
+
+        def moved_to_the_one_that_stays() -> bool:
+            asking = threading.Thread(target=ask)
+            asking.start()
+            ready = hosts_with_requests(gateway)
+            for host in ready:
+                answer_at(host)
+            asking.join(WAIT)
+            return ready == [gateway.hosts[1]]
+
+        until(moved_to_the_one_that_stays)
+        assert all(answer.startswith(b"HTTP/1.1 200") for answer in said)
+        gateway.signal(signal.SIGHUP)
+        gateway.signal(signal.SIGTERM)
+        log = gateway.ended()
+        assert "reloaded" in log and "Too many open files" not in log
+
+
+# -- configurations
+
+
+@pytest.mark.parametrize(
+    ("changes", "names"),
+    [
+        ({"limits": {"cores": 1.0, "memory_mb": 64, "sockets": 10}}, "limits.sockets"),
+        ({"limits": {"cores": 1.0, "memory_mb": 64}}, "limits"),
+        ({"listen": "8080"}, "listen"),
+        ({"peers": ["127.0.0.1:7946", "x"]}, "peers[1]"),
+        ({"settings": settings(classes=[{"name": "a"}])}, "'target'"),
+        ({"known": {"generation": "x", "reset": True, "instances": []}}, "known"),
+    ],
+    ids=lambda value: value if isinstance(value, str) else "",
+)
+def test_a_configuration_that_cannot_be_used_ends_the_start_with_one_line(tmp_path, changes, names):
+    path = tmp_path / "config.json"
+    path.write_text(json.dumps(file(**changes)))
+    done = subprocess.run(
+        [sys.executable, "-m", "orchidlane.platform"],
+        env={**os.environ, "PROXY_CONFIG": str(path)},
+        capture_output=True,
+        text=True,
+        timeout=WAIT,
+    )
+    assert done.returncode == 2 and not done.stdout
+    assert done.stderr.count("\n") == 1 and str(path) in done.stderr and names in done.stderr, done.stderr
