A customer that nobody else can tell of is not taken for unheard, and is forgotten

Every account stayed "fresh" there, so a gateway let in its share of the burst once and nothing more: _admits bounds room by burst / size less its own count, which only grows. The same flag keeps an account for ever (_drop_idle), also of a set of one gateway with messages.

Change: an account is unheard only where somebody could tell of it; full is what its share allows, up to rounding. With messages and sets of more than one gateway nothing else changes.

--- a/orchidlane/rules.py
+++ b/orchidlane/rules.py
@@ -22,6 +22,7 @@
 INTERVAL = 300 * MS  # between two gossip turns: what is pressing does not wait for them
 FAN = 12  # gateways told at once: the rest of a larger set is told by them, each has a part of it
 NEWS_MOST = 3  # counts in a row; older ones are within its total
+ROUNDING = 1e-6  # of a unit: sums of what was spent and may be spent
 LOOK_AT, IDLE_LOOKS = 32, 3  # customers looked at for one message / for being idle, to bound the work
 LATE_MOST = 5 * SECOND  # a message that took longer, or comes from so far ahead, is not believed
 CLOSE, REOPEN = 0.25, 0.6  # of the burst: with less room a customer is refused, until so much is back
@@ -125,8 +126,7 @@
             if account.out + others >= plan.open:
                 return False
         room = account.room
-        # Unheard: a share, at least one request. A set of one has nobody to hear from.
-        if account.fresh and account.size > 1 and self.rank in account.counts:
+        if account.fresh and self.rank in account.counts:  # unheard: a share, at least one request
             room = min(room, plan.burst / account.size - account.counts[self.rank][1])
         return not plan.rate or (not account.closed and room >= event.units)
 
@@ -291,7 +291,8 @@
     def _account(self, customer: int, plan: int, first: int, size: int, trusted: bool) -> Account:
         account, key = self.accounts.get(customer), (plan, first, max(1, min(size, self.s.gateways)))
         if account is None:
-            account = Account(customer, key, self.s.plans[plan].burst, self.born)
+            unheard = key[2] > 1 and not self.alone  # else there is nobody to hear from
+            account = Account(customer, key, self.s.plans[plan].burst, self.born, fresh=unheard)
             self.accounts[customer] = account
             self.idle_queue.append(customer)
         elif trusted:  # a request goes before a peer
@@ -550,7 +551,8 @@
             self._lift(account := self.accounts[customer])
             plan = self.s.plans[account.plan]
             most = plan.ceiling_burst * self._ceiling_part(account)  # met anew, it has its part
-            full = account.ceiling >= most and account.room >= plan.burst
+            burst = plan.burst / (account.size if self.alone else 1)
+            full = account.ceiling >= most and account.room >= burst - ROUNDING
             if account.out or account.fresh or not full:
                 self.idle_queue.append(customer)
                 continue
--- a/tests/test_counts.py
+++ b/tests/test_counts.py
@@ -257,6 +257,40 @@
     assert not bodies([*bench.log, *bench.run(2 * SECOND)])
 
 
+def test_without_peer_messages_a_share_comes_back_as_it_fills():
+    """Nobody is waited for: its part of the rate is let in for as long as the customer asks."""
+    bench = Bench(may_tell_peers=False)
+    sent = 0
+    for second in range(30):
+        sent += let_in(bench, 3, start=1 + 10 * second)
+        bench.now += SECOND
+    assert 30 * 2 / 3 <= sent <= 10 / 3 + 30 * 2 / 3
+
+
+@pytest.mark.parametrize("changes", [{}, {"may_tell_peers": False}])
+def test_a_customer_that_nobody_else_can_tell_of_is_forgotten_too(changes):
+    bench = Bench(**changes)
+    let_in(bench, 1, size=3 if changes else 1)
+    bench.run(30 * SECOND)
+    for i in range(50, 60):
+        bench.ask(i, customer=1_000 + i, size=1)
+    assert 7 not in bench.gateway.accounts
+
+
+def test_rounding_keeps_no_customer_that_is_full():
+    """What was spent and may be spent, added and taken off again, is a little less than the burst at
+    times.
+    """
+    plans = (dataclasses.replace(PLAIN, burst=4.1 + 0.37 * number) for number in range(20))
+    for plan in plans:
+        bench = Bench(plans=(plan,))
+        let_in(bench, 3, size=1)
+        bench.run(30 * SECOND)
+        for i in range(50, 60):
+            bench.ask(i, customer=1_000 + i, size=1)
+        assert 7 not in bench.gateway.accounts, plan
+
+
 def steps(gateways: int) -> int:
     """Calls made within the package for the same events at one size of fleet and set."""
     bench = Bench(gateways=gateways, servers=4, peer_intake=1_000.0)
