A client that waits for room when a gateway leaves finds an end in order

Seen in reading Front._take: while all clients are busy, one that was accepted waits in _make_room with no task of its own; drain cancels the accepting task there, and the socket was left open with nobody to close it. A test that forces this order (one busy client, room for one) hears nothing for 5 s without the change.

Change: the wait for room ends that client by the lingering close.

--- a/orchidlane/gateway/front.py
+++ b/orchidlane/gateway/front.py
@@ -189,7 +189,11 @@
         connection = Connection(stream, self.limits, self.loop.now(), self.next_number())
         if self.watcher is not None:
             self.watcher.opened(connection.number, connection.stream)
-        self._make_room()
+        try:
+            self._make_room()
+        except BaseException:  # we shut down, and it has no task yet that would end it
+            self._forget(connection)
+            raise
         self._begin(connection)
 
     def _begin(self, connection: Connection) -> None:
--- a/tests/test_narrow_moments.py
+++ b/tests/test_narrow_moments.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import dataclasses
+import select
 from contextlib import suppress
 
 import pytest
@@ -209,6 +210,24 @@
     assert len(run(*[good] * 6, test=test).seen) == 3 + 5
 
 
+def test_a_client_that_waits_for_room_when_a_gateway_leaves_finds_an_end_and_no_reset():
+    def test(house):
+        house.answer_now = False
+        front = house.life.front
+        front.bounds = dataclasses.replace(front.bounds, connections=1)
+        busy, crowded = house.connect(), house.connect()
+        busy.send(call())
+        house.until(lambda: house.seen)
+        crowded.send(call())
+        house.until(lambda: not house.world.glance(front.listener, select.POLLIN))  # it was taken
+        front.drain()
+        assert to_the_end(house, crowded) == b""
+        house.answer_now = True
+        assert house.answer(busy)[0] == 200
+
+    assert len(run(held, test=test).seen) == 1
+
+
 def test_sigterm_with_a_request_at_each_stage_answers_each_once():
     def test(house):
         house.answer_now = False
