KNOWN-RED.txt: tests that fail for a known fault are strict expected failures, and printed

A test that fails for a real fault which can't be mended at once may land, named, and nothing else may.

Change: tests/known_red.py reads the file (test id | cause | issue, three lines at most) and marks exactly these tests; one that passes, a malformed or fourth line, or an id that no test has fails the run, with one process or several. The closing summary prints each line.

There is no such file now: nothing is known red.

--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -5,6 +5,14 @@
 import dataclasses
 
 import pytest
+from known_red import (  # noqa: F401  hooks of the tests that are known to fail
+    mark,
+    pytest_collection_finish,
+    pytest_configure,
+    pytest_sessionfinish,
+    pytest_terminal_summary,
+    pytest_xdist_node_collection_finished,
+)
 
 from orchidlane import interface as api
 from orchidlane.rules import Gateway
@@ -25,8 +33,9 @@
 EACH_BY_ITSELF = ("change_model", "change_processes", "platform_processes")  # long, and they share nothing
 
 
-def pytest_collection_modifyitems(items: list[pytest.Item]) -> None:
+def pytest_collection_modifyitems(config: pytest.Config, items: list[pytest.Item]) -> None:
     """Tests that need real time or all cores follow each other; one file's others stay together."""
+    mark(config, items)
     for item in items:
         name = item.path.stem.removeprefix("test_")
         if name in EACH_BY_ITSELF:
--- /dev/null
+++ b/tests/test_known_red.py
@@ -0,0 +1,103 @@
+"""The rules of ``KNOWN-RED.txt``, seen on runs of pytest of their own."""
+
+from __future__ import annotations
+
+import subprocess
+import sys
+from pathlib import Path
+
+import pytest
+from known_red import Red, parse
+
+HERE = Path(__file__).parent
+CONFTEST = f"""
+import sys
+sys.path.insert(0, {str(HERE)!r})
+from known_red import (
+    mark, pytest_collection_finish, pytest_configure, pytest_sessionfinish, pytest_terminal_summary,
+    pytest_xdist_node_collection_finished,
+)
+
+def pytest_collection_modifyitems(config, items):
+    mark(config, items)
+"""
+TESTS = """
+import pytest
+
+def test_good():
+    pass
+
+@pytest.mark.parametrize("one", [1, 2])
+def test_bad(one):
+    assert one == 1
+"""
+BAD = "tests/test_a.py::test_bad[2] | the second one is wrong | 38"
+
+
+def run(folder: Path, known: str | None, *arguments: str) -> subprocess.CompletedProcess[str]:
+    (folder / "tests").mkdir()
+    (folder / "pyproject.toml").write_text('[tool.pytest.ini_options]\ntestpaths = ["tests"]\n')
+    (folder / "tests/conftest.py").write_text(CONFTEST)
+    (folder / "tests/test_a.py").write_text(TESTS)
+    if known is not None:
+        (folder / "KNOWN-RED.txt").write_text(known)
+    command = [sys.executable, "-m", "pytest", "-p", "no:cacheprovider", *arguments]
+    return subprocess.run(command, cwd=folder, capture_output=True, text=True, timeout=60)
+
+
+WRONG = [
+    "tests/test_a.py::test_bad[2]\n",
+    "\n",
+    "a | b | 38\n",
+    "a::b | | 38\n",
+    "a::b | c | soon\n",
+    f"{BAD}\n{BAD}\n",
+    "".join(f"tests/test_a.py::test_{number} | c | 38\n" for number in range(4)),
+]
+WORKERS = pytest.mark.parametrize("workers", [(), ("-n", "2", "--dist", "loadgroup")], ids=["one", "two"])
+
+
+@WORKERS
+def test_a_listed_failure_passes_and_is_printed(tmp_path, workers):
+    done = run(tmp_path, BAD + "\n", *workers)
+    assert done.returncode == 0, done.stdout
+    assert "2 passed, 1 xfailed" in done.stdout
+    assert "known red: tests/test_a.py::test_bad[2] | the second one is wrong | issue 38\n" in done.stdout
+
+
+@WORKERS
+def test_without_a_file_a_failure_fails_the_run(tmp_path, workers):
+    done = run(tmp_path, None, *workers)
+    assert done.returncode == 1 and "1 failed, 2 passed" in done.stdout and "known red" not in done.stdout
+
+
+@WORKERS
+def test_a_listed_test_that_passes_fails_the_run(tmp_path, workers):
+    done = run(tmp_path, BAD + "\ntests/test_a.py::test_good | it was | 38\n", *workers)
+    assert done.returncode == 1 and "1 failed, 1 passed, 1 xfailed" in done.stdout
+
+
+@WORKERS
+@pytest.mark.parametrize(
+    "name", ["tests/test_a.py::test_none", "tests/test_b.py::test_good", "tests/test_a.py::test_bad"]
+)
+def test_an_id_that_no_test_has_fails_the_run(tmp_path, name, workers):
+    done = run(tmp_path, f"{BAD}\n{name} | gone | 38\n", *workers)
+    assert done.returncode == 1, done.stdout
+    assert f"known red: {name} | gone | issue 38 -- NO SUCH TEST\n" in done.stdout
+
+
+def test_a_run_of_one_test_says_nothing_of_others(tmp_path):
+    assert run(tmp_path, BAD + "\n", "tests/test_a.py::test_good").returncode == 0
+
+
+@WORKERS
+@pytest.mark.parametrize("text", WRONG, ids=range(len(WRONG)))
+def test_a_file_that_breaks_its_rules_ends_the_run_before_any_test(tmp_path, text, workers):
+    done = run(tmp_path, text, *workers)
+    assert done.returncode == 4 and "KNOWN-RED.txt" in done.stderr and "passed" not in done.stdout
+
+
+def test_a_good_file_is_read_line_by_line():
+    assert parse(BAD) == [Red("tests/test_a.py::test_bad[2]", "the second one is wrong", "38")]
+    assert parse("") == []
