--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -30,7 +30,12 @@
 )  # real sockets, all cores
 
 
-EACH_BY_ITSELF = ("change_model", "change_processes", "platform_processes", "fleet")  # long, and they share nothing
+EACH_BY_ITSELF = (
+    "change_model",
+    "change_processes",
+    "platform_processes",
+    "fleet",
+)  # long, and they share nothing
 
 
 def pytest_collection_modifyitems(config: pytest.Config, items: list[pytest.Item]) -> None:
--- a/tests/test_narrow_moments.py
+++ b/tests/test_narrow_moments.py
@@ -15,7 +15,7 @@
 from platformhouse import MS, OK, SECOND, RealPlatformHouse, call, settings
 
 from orchidlane.loop import Closed
-from orchidlane.platform.ending import STAY
+from orchidlane.platform.ending import STAY, ending
 
 CLOSE = "Connection: close"
 FULL = b"HTTP/1.1 503 Busy\r\nX-Not-Processed: 1\r\nContent-Length: 0\r\n\r\n"
@@ -253,6 +253,46 @@
     assert len(run(held, held, held, test=test).seen) == 3
 
 
+# -- ends, whatever the deadlines
+
+
+@pytest.mark.parametrize("longest", [1 * MS, 150 * MS, SECOND, 3 * SECOND, 60 * SECOND])
+def test_the_times_of_an_end_add_up_to_when_we_are_killed(longest):
+    leave, last, end = ending(0, longest)
+    counted = min(longest, 3 * SECOND)
+    assert leave >= 400 * MS  # new connections keep coming
+    assert leave + counted <= last < end < counted + 700 * MS
+    assert end - last >= 50 * MS  # for the last answers
+
+
+@pytest.mark.parametrize("deadline", [120 * MS, 2 * SECOND])
+def test_what_comes_before_a_gateway_leaves_has_all_its_time(deadline):
+    """With short deadlines, too: a kept connection that is used until it ends."""
+
+    def slow(house, index, stream):
+        house.read_request(index, stream)
+        house.loop.sleep(30 * MS)
+        stream.send(OK.replace(b"\r\n\r\n", b"\r\nConnection: close\r\n\r\n"))
+
+    def test(house):
+        client = house.connect()
+        house.until(lambda: house.life.front.connections)
+        house.life.stop()
+        served = 0
+        while True:
+            with suppress(Closed):  # sent after the end had come
+                client.send(call(left=f"{deadline / SECOND:.3f}"))
+            if not (said := client.recv(deadline=house.loop.now() + 5 * SECOND)):
+                break
+            assert said.startswith(b"HTTP/1.1 200")
+            served += 1
+        assert served > 3
+        house.until(lambda: house.ended)
+
+    classes = [{**cls, "deadline": deadline, "target": deadline} for cls in settings()["classes"]]
+    run(slow, test=test, settings=settings(classes=classes))
+
+
 # -- clients that have left
 
 
