A connection rests before its next request: a late second answer is not taken for another's

Ruled out: telling the two apart by a round trip's time (162 against 185 us, and connects that come up late would make good answers look too soon); ids (an answer names none). Lines at fault: Pool.take takes the connection that came to rest last, however lately.

The OpenAPI side has 0. Two tests over real connections, one of them with the order above forced (red before).

--- a/orchidlane/gateway/seam.py
+++ b/orchidlane/gateway/seam.py
@@ -146,6 +146,10 @@
     def node_idle(self) -> int:
         """A node's connection between two requests."""
 
+    @property
+    def node_rest(self) -> int:
+        """A node's connection carries no request sooner after an answer."""
+
     @property
     def unsafe_idle(self) -> int:
         """The same before an unsafe request."""
--- a/orchidlane/gateway/settings.py
+++ b/orchidlane/gateway/settings.py
@@ -115,6 +115,11 @@
         """A new client may be silent for as long as one between two requests."""
         return 0
 
+    @property
+    def node_rest(self) -> int:
+        """Nodes answer once: a connection is taken up again at once."""
+        return 0
+
     @property
     def wrong(self) -> int:
         """An error leaves at once."""
--- a/orchidlane/gateway/upstream.py
+++ b/orchidlane/gateway/upstream.py
@@ -84,10 +84,11 @@
         """
         longest = self.times.unsafe_idle if unsafe else self.times.node_idle
         idle = self._idle.get(server)
-        while idle:
-            if unsafe and not self._may(idle[-1], unsafe):
+        while idle and (place := self._latest_rested(idle)) is not None:
+            if unsafe and not self._may(idle[place], unsafe):
                 break  # good enough for others
-            connection = idle.pop()
+            connection = idle[place]
+            del idle[place]
             if connection.address == address and self._is_fresh(connection, longest):
                 connection.rested = self.loop.now() - connection.idle_since
                 return connection
@@ -105,6 +106,14 @@
             self._uncount(server)
             raise
 
+    def _latest_rested(self, idle: deque[Connection]) -> int | None:
+        """Where the connection is that came to rest last, but for those that did so just now.
+
+        Guards against a second answer that comes a little late: it would be taken for the next request's.
+        """
+        least = self.loop.now() - self.times.node_rest
+        return next((at for at in range(len(idle) - 1, -1, -1) if idle[at].idle_since <= least), None)
+
     def _may(self, connection: Connection, unsafe: bool) -> bool:
         now = self.loop.now()
         return self.reuse.may(now - connection.idle_since, unsafe, now)
--- a/tests/test_narrow_moments.py
+++ b/tests/test_narrow_moments.py
@@ -439,6 +439,49 @@
     assert len(run(host, test=test).seen) == 1
 
 
+def numbered(house) -> bytes:
+    """An answer that tells which request it was made for."""
+    return OK.replace(b"ok", b"%02d" % len(house.seen))
+
+
+def test_a_second_answer_that_crosses_the_next_request_is_not_taken_for_its_own():
+    """It was on its way when that request left: nothing tells the two apart, so none may leave so soon."""
+
+    def answers_again(house, index, stream):
+        before = b""
+        while True:
+            house.read_request(index, stream)
+            stream.send(before)
+            before = numbered(house)
+            stream.send(before)
+
+    def test(house):
+        client = house.connect()
+        for number in (b"01", b"02", b"03"):
+            client.send(call())
+            assert house.answer(client)[2] == number
+
+    run(answers_again, test=test)
+
+
+def test_a_second_answer_that_comes_late_ends_its_connection():
+    def answers_again(house, index, stream):
+        while True:
+            house.read_request(index, stream)
+            stream.send(numbered(house))
+            house.loop.sleep(3 * MS)
+            stream.send(numbered(house))
+
+    def test(house):
+        client = house.connect()
+        for number in (b"01", b"02", b"03"):
+            client.send(call())
+            assert house.answer(client)[2] == number
+            house.loop.sleep(2 * house.life.pool.times.node_rest)
+
+    run(answers_again, test=test)
+
+
 def test_an_answer_without_a_length_that_never_ends_has_its_time():
     def endless(house, index, stream):
         house.read_request(index, stream)
