--- a/orchidlane/platform/terms.py
+++ b/orchidlane/platform/terms.py
@@ -60,7 +60,7 @@
     write: int = 2_000_000
     client_margin: int = 12_000
     linger: int = 300_000
-    node_rest: int = 20_000  # a second answer may come some milliseconds late, by the protocol
+    node_rest: int = 10_000  # a second answer may come some milliseconds late, by the protocol
 
 
 @dataclass(frozen=True, slots=True)
