Names of the field: half-close, graceful shutdown, retry interval, backoff, delta, in flight

No change of behaviour: Stream.end is half_close, platform/ending.py shutdown.py, the calls' again and apart a retry interval and a backoff, Tracker's changes a delta, clients' open ids in_flight.

--- a/orchidlane/gateway/openapi.py
+++ b/orchidlane/gateway/openapi.py
@@ -66,7 +66,7 @@
         self.note = note  # is told of each final answer
         self.why_not = why_not  # requests may be served; "" where they may
 
-    def understand(self, head: Request, under_way: int) -> Call | Answer:
+    def understand(self, head: Request, in_flight: int) -> Call | Answer:
         """Operation, customer and patience of a request, or why there are none."""
         knowledge = self.knowledge()
         if why := self.why_not():
@@ -89,7 +89,7 @@
         patience = give_up_after(operation, head.headers, cls.deadline)
         if patience is None:
             return problem(400, "The time to give up after is no whole number of milliseconds.")
-        if under_way >= self.fleet.bounds.open:
+        if in_flight >= self.fleet.bounds.open:
             return problem(503, "Too many requests under way.", ((b"retry-after", b"1"),))
         return OperationCall(
             kind=operation.kind,
--- a/orchidlane/gateway/seam.py
+++ b/orchidlane/gateway/seam.py
@@ -180,8 +180,8 @@
 
     whole_first: bool  # a request begins with its last byte, not with its head
 
-    def understand(self, head: http1.Request, under_way: int) -> Call | Answer:
-        """What a head means, or the answer that ends it; ``under_way``: requests not answered yet."""
+    def understand(self, head: http1.Request, in_flight: int) -> Call | Answer:
+        """What a head means, or the answer that ends it; ``in_flight``: requests not answered yet."""
 
     def wrong(self, status: int, detail: str) -> Answer:
         """What came in can't be used."""
--- a/orchidlane/lab/links.py
+++ b/orchidlane/lab/links.py
@@ -68,7 +68,7 @@
                 if self.delay.get(pair):
                     self.loop.sleep(self.delay[pair])
                 self._write(pair, sink, data)
-            sink.end()
+            sink.half_close()
         except (Closed, Expired):
             sink.abort()
 
--- a/orchidlane/loop/lingering.py
+++ b/orchidlane/loop/lingering.py
@@ -32,7 +32,7 @@
 
     def close(self, stream: Stream) -> None:
         """End a connection; never waits. No other task may read or write it any more."""
-        stream.end()
+        stream.half_close()
         left = _read_out(stream, READ_MOST)
         if not left:
             return stream.close()
--- a/orchidlane/loop/real.py
+++ b/orchidlane/loop/real.py
@@ -506,7 +506,7 @@
         self.sent += done
         return done
 
-    def end(self) -> None:
+    def half_close(self) -> None:
         if not self.closed:
             with contextlib.suppress(OSError):
                 self.sock.shutdown(socket.SHUT_WR)
--- a/orchidlane/loop/simulated.py
+++ b/orchidlane/loop/simulated.py
@@ -390,7 +390,7 @@
             self.other._deliver(self.other._arrive, part)
         return len(part)
 
-    def end(self) -> None:
+    def half_close(self) -> None:
         if not self.closed and not self.finished and not self.world.loop.process.dead:
             self.finished = True
             self.other._deliver(self.other._end, None)
@@ -403,7 +403,7 @@
         if not self.closed and not self.world.loop.process.dead:
             if self.inbox and not self.local:
                 return self.abort()
-            self.end()
+            self.half_close()
             self._leave()
 
     def abort(self) -> None:
--- a/orchidlane/loop/world.py
+++ b/orchidlane/loop/world.py
@@ -47,7 +47,7 @@
     def try_send(self, data: bytes) -> int:
         """Hand over what is taken without waiting; how many bytes. Raises Closed."""
 
-    def end(self) -> None:
+    def half_close(self) -> None:
         """Send no more; reading goes on."""
 
     def close(self) -> None:
--- a/orchidlane/platform/asking.py
+++ b/orchidlane/platform/asking.py
@@ -4,7 +4,7 @@
 ``TOLD`` after it fell silent, whether or not it arrived. The way to the next one, as a sum:
 
     HEARTBEAT + LATE   until it is known to be silent (``SILENCE``); then it is ended, and counts no more
-    again              for each call that is not answered: the next one is made beside it
+    retry interval     for each call that is not answered: the next one is made beside it
     ------------------
     2.5 s + 7 x 0.5 s  at most: seven calls in a row may fail within ``TOLD``
 
@@ -21,21 +21,21 @@
 LATE = 500_000  # for a heartbeat's way, and for our own standing still
 SILENCE = HEARTBEAT + LATE
 TOLD = 6_000_000  # after its begin a silent watch counts as having told all the same, by the protocol
-AGAIN_LEAST, AGAIN_MOST = 100_000, 500_000  # between two calls that are not answered
-APART_MOST = 1_600_000  # between two watches that end soon after their begin
+RETRY_LEAST, RETRY_MOST = 100_000, 500_000  # between two calls that are not answered
+BACKOFF_MOST = 1_600_000  # between two watches that end soon after their begin
 CALLS = 4  # that wait for an answer at a time
 
 
-def again_after(grace: int) -> int:
+def retry_interval(grace: int) -> int:
     """Microseconds until a call without an answer is made again; ``grace`` is that of drains."""
-    return min(AGAIN_MOST, max(AGAIN_LEAST, grace // 2))
+    return min(RETRY_MOST, max(RETRY_LEAST, grace // 2))
 
 
 class Asking:
     """Which calls are open; times are the caller's clock in microseconds, calls have numbers."""
 
-    def __init__(self, again: int) -> None:
-        self.again = again
+    def __init__(self, interval: int) -> None:
+        self.interval = interval
         self.following: int | None = None  # the call that speaks
         self.waiting: dict[int, int] = {}  # calls without an answer yet, when each was made; the oldest first
         self.due = 0  # no call is made before
@@ -49,7 +49,7 @@
             return None, []
         self._calls += 1
         self.waiting[self._calls] = now
-        self.due = now + self.again
+        self.due = now + self.interval
         given_up = list(self.waiting)[:-CALLS]
         for number in given_up:
             del self.waiting[number]
@@ -72,8 +72,8 @@
             return
         self.following = None
         self._short = self._short + 1 if now - self._begun < HEARTBEAT else 0
-        apart = self.again << max(0, self._short - 1)
-        self.due = max(self.due, self._begun + min(APART_MOST, apart)) if self._short else now
+        backoff = self.interval << max(0, self._short - 1)
+        self.due = max(self.due, self._begun + min(BACKOFF_MOST, backoff)) if self._short else now
 
     def next_look(self) -> int | None:
         """When ``ask`` has something to say; None while a watch speaks."""
--- a/orchidlane/platform/clients.py
+++ b/orchidlane/platform/clients.py
@@ -16,7 +16,7 @@
 
 
 class PlatformClients:
-    """Heads to calls, decisions to answers; the ids of open requests are told apart here."""
+    """Heads to calls, decisions to answers; the ids of requests in flight are told apart here."""
 
     whole_first = True
 
@@ -25,10 +25,10 @@
         self.open_most = open_most
         self.retry_after = retry_after
         self.ready = ready
-        self.open: set[bytes] = set()
+        self.in_flight: set[bytes] = set()
         self.told: Counter[str] = Counter()  # final answers by kind
 
-    def understand(self, head: Request, under_way: int) -> Call | Answer:
+    def understand(self, head: Request, in_flight: int) -> Call | Answer:
         """A call whose id is now open, or an error."""
         if head.target == READY and head.method == "GET":
             return Answer(200 if self.ready() else 503, [], b"")
@@ -36,11 +36,11 @@
             call = self.reader.read(head)
         except Wrong as wrong:
             return self.wrong(wrong.status, wrong.detail)
-        if call.id in self.open:
+        if call.id in self.in_flight:
             return self.wrong(409, "a request with this id is open")
-        if under_way >= self.open_most:
+        if in_flight >= self.open_most:
             return Answer(BUSY, [], b"", kind="refused")
-        self.open.add(call.id)
+        self.in_flight.add(call.id)
         return call
 
     def wrong(self, status: int, detail: str) -> Answer:
@@ -69,4 +69,4 @@
     def over(self, exchange: Exchange) -> None:
         """The id may come again."""
         assert isinstance(exchange.call, PlatformCall)
-        self.open.discard(exchange.call.id)
+        self.in_flight.discard(exchange.call.id)
--- a/orchidlane/platform/discovery.py
+++ b/orchidlane/platform/discovery.py
@@ -79,11 +79,11 @@
             raise ListRefused(f"not a line of a list: {wrong}") from None
         return self.apply(line, api.ListKind.WHOLE)
 
-    def apply(self, line: ListLine, whole: api.ListKind) -> api.ServerListed | None:
-        """The same for a decoded line; ``whole`` is what a whole list counts as. Raises ListRefused."""
+    def apply(self, line: ListLine, snapshot: api.ListKind) -> api.ServerListed | None:
+        """The same for a decoded line; ``snapshot`` is what a whole list counts as. Raises ListRefused."""
         news = self._checked(line)
         if not line.reset:
-            return self._changes(line, news)
+            return self._delta(line, news)
         if line.generation < max(self.generation, self.behind):
             return self._older(line, news)
         self.generation, self.behind = line.generation, -1
@@ -91,9 +91,9 @@
             self._leave(server)
         for entry, place in news:
             self._put(entry, place)
-        return _listed(whole, line.generation, news)
+        return _listed(snapshot, line.generation, news)
 
-    def _changes(self, line: ListLine, news: News) -> api.ServerListed | None:
+    def _delta(self, line: ListLine, news: News) -> api.ServerListed | None:
         if line.generation <= self.generation:
             return None
         if line.generation <= self.behind:
@@ -196,13 +196,13 @@
         tracker: Tracker,
         told: Callable[[api.ServerListed], None],
         failed: Callable[[str], None],
-        again: int,
+        interval: int,
     ) -> None:
         self.loop = loop
         self.tracker = tracker
         self.told = told
         self.failed = failed
-        self.asking = Asking(again)
+        self.asking = Asking(interval)
         self._calls: dict[int, Task] = {}
         self._why = ""  # a call failed last time: told once
         self._wake: Callable[[], None]  # the task that asks
--- a/orchidlane/platform/life.py
+++ b/orchidlane/platform/life.py
@@ -2,7 +2,7 @@
 
 After SIGTERM clients go on to connect and to use what they have for a while; all that comes then is owed an
 answer. So for a while nothing changes but ``GET /up``; then no more connections are taken, those between two
-requests are closed, each answer closes its own, and the end comes once all is answered (``ending.py``).
+requests are closed, each answer closes its own, and the end comes once all is answered (``shutdown.py``).
 
 A gateway counts as told from its first moment of what discovery has, and it starts with a list that may be
 old. So ``GET /up`` says 200 once discovery spoke. While that is silent no more can be known: then the grace
@@ -22,14 +22,14 @@
 from ..gateway.upstream import Upstream
 from ..loop import BACKGROUND, CONTROL, PEERS, Address, Loop, Scope, Task
 from ..rules import Gateway
-from .asking import again_after
+from .asking import retry_interval
 from .calls import Reader
 from .clients import PlatformClients
 from .config import Config, ConfigError, parse
 from .discovery import ListRefused, Tracker, Watch
-from .ending import Ending, ending
 from .log import Log
 from .outcomes import PlatformNodes
+from .shutdown import Shutdown, graceful_shutdown
 from .terms import terms_of
 
 BIND_MOST = (
@@ -66,7 +66,7 @@
         self._main: Task | None = None
         self._known_until = loop.now() + config.settings.drain_grace  # the list may be as old as it was given
         self._heard = False  # discovery has told something
-        self._ending = Ending(0, 0, 0)  # once we end
+        self._shutdown = Shutdown(0, 0, 0)  # once it has begun
 
     def run(self) -> None:
         """The main task."""
@@ -78,7 +78,7 @@
                 self._start(scope)
                 while not self.stopping:
                     self.loop.park()
-                self._end()
+                self._shut_down()
             scope.cancel()
         self.log.say("ended")
 
@@ -178,8 +178,8 @@
             while task in self._watching and self._watching[0] is not task:
                 self.loop.cancel(self._watching.pop(0))
 
-        again = again_after(self.config.settings.drain_grace)
-        watch = Watch(self.loop, self.tracker, self._listed, self.log.say, again)
+        interval = retry_interval(self.config.settings.drain_grace)
+        watch = Watch(self.loop, self.tracker, self._listed, self.log.say, interval)
         task = self._spawn(watch.work, at, followed, kind=CONTROL, name="list")
         self._watching.append(task)
         while len(self._watching) > WATCHES_MOST:
@@ -215,7 +215,7 @@
             return
         self.stopping = True
         longest = max((cls.deadline for cls in self.config.settings.classes), default=0)
-        self._ending = ending(self.loop.now(), longest)
+        self._shutdown = graceful_shutdown(self.loop.now(), longest)
         if self._main is not None:
             self.loop.wake(self._main)
 
@@ -239,9 +239,9 @@
             self._follow(fresh.discovery)
         self.log.say("reloaded")
 
-    def _end(self) -> None:
+    def _shut_down(self) -> None:
         self.log.say("ends")
-        leave, last, end = self._ending
+        leave, last, end = self._shutdown
         self.front.last = last
         self.loop.sleep(leave - self.loop.now())
         self.front.drain()
--- a/orchidlane/platform/ending.py
+++ b/orchidlane/platform/shutdown.py
@@ -1,4 +1,4 @@
-"""What is owed between SIGTERM and SIGKILL, as times. Decides without I/O.
+"""Graceful shutdown: what is owed between SIGTERM and SIGKILL, as times. Decides without I/O.
 
 By the protocol new connections keep coming for 0.4 s, clients use those that stay open, and SIGKILL comes
 ``KILLED`` after the longest deadline, of which 3 s are counted at most. So:
@@ -24,7 +24,7 @@
 SPARE = KILLED - STAY
 
 
-class Ending(NamedTuple):
+class Shutdown(NamedTuple):
     """Clock times in microseconds."""
 
     leave: int  # no more clients are taken from then on
@@ -32,7 +32,7 @@
     end: int  # the last answers have been taken, or never will be
 
 
-def ending(now: int, longest: int) -> Ending:
-    """The times of an end that begins now; ``longest`` is the longest deadline of any class."""
+def graceful_shutdown(now: int, longest: int) -> Shutdown:
+    """The times of a shutdown that begins now; ``longest`` is the longest deadline of any class."""
     killed = now + min(longest, COUNTED) + KILLED
-    return Ending(now + STAY, killed - SPARE, killed - SPARE // 2)
+    return Shutdown(now + STAY, killed - SPARE, killed - SPARE // 2)
