A gateway listens once discovery has spoken, so that it is ready with the first who asks

Change: the start waits up to 0.1 s for the agent's first word, which answers at once, before it listens. A test asks the moment the listener is there (red without).

--- a/orchidlane/platform/life.py
+++ b/orchidlane/platform/life.py
@@ -20,7 +20,7 @@
 from ..gateway.front import Front
 from ..gateway.host import Host
 from ..gateway.upstream import Upstream
-from ..loop import BACKGROUND, CONTROL, PEERS, Address, Loop, Scope, Task
+from ..loop import BACKGROUND, CONTROL, PEERS, Address, Expired, Loop, Scope, Task
 from ..rules import Gateway
 from .asking import retry_interval
 from .calls import Reader
@@ -35,6 +35,7 @@
 BIND_MOST = (
     8_000_000  # microseconds in which an address that a process of ours held may come free: ready in 10 s
 )
+FIRST_WORD = 100_000  # microseconds that clients wait at most for discovery's first word at the start
 RETRY = 100_000  # microseconds until a task that failed begins anew
 REPORT = 10_000_000  # microseconds between two lines of the log on what passed
 WATCHES_MOST = 2  # of the list: the one before is followed until the new one speaks
@@ -111,6 +112,7 @@
             self._spawn(self._hear, kind=PEERS, name="peers")
         self.host.start()
         self._follow(self.config.discovery)
+        self._await_list()
         self.front.listen(self._bind(self.loop.world.listen, self.config.listen))
         self._spawn(self._report, kind=BACKGROUND, name="report")
         self.log.say(f"serves, {len(self.tracker.nodes)} hosts known")
@@ -118,6 +120,13 @@
             told = f"{len(self.config.peers)} addresses for {self.config.settings.gateways} gateways"
             self.log.say(f"peers: {told}, those without one are not told")
 
+    def _await_list(self) -> None:
+        """Discovery's agent answers at once: whoever asks for ``GET /up`` first need not ask again."""
+        by = self.loop.now() + FIRST_WORD
+        with suppress(Expired):
+            while not (self._heard or self.stopping):
+                self.loop.park(by)
+
     def _bind(self, bind: Callable[[Address], Any], at: Address) -> Any:
         """A socket at an address. The process before us may not be gone yet; raises OSError after a while,
         and _Stopped.
@@ -187,7 +196,10 @@
         self._following = at
 
     def _listed(self, listed: api.ServerListed) -> None:
-        self._heard = True
+        if not self._heard:
+            self._heard = True
+            if self._main is not None:
+                self.loop.wake(self._main)
         self.host.feed(listed)
         for entry in listed.entries:
             if entry.phase is api.Phase.GONE:
--- a/tests/test_watches.py
+++ b/tests/test_watches.py
@@ -20,7 +20,7 @@
 )
 
 from orchidlane.gateway.lines import LineTooLong, Objects
-from orchidlane.loop import CONTROL, Closed
+from orchidlane.loop import CONTROL, Closed, NotConnected
 from orchidlane.platform import asking
 from orchidlane.platform.asking import Asking, retry_interval
 from orchidlane.platform.discovery import LEFT_LEAST, NODES_MOST, ListRefused, Tracker
@@ -361,6 +361,29 @@
     run(world, test)
 
 
+@WORLDS
+def test_where_discovery_answers_at_once_the_first_who_asks_hears_that_we_are_ready(world):
+    class Starts(world):
+        def _begin(self) -> None:
+            self.until(lambda: self.discovery.listener is not None)
+            self.process = self.loop.spawn(self._gateway, kind=CONTROL, scope=self.scope)
+
+        def _finish(self) -> None:
+            pass
+
+    def test(house):
+        while True:
+            try:
+                stream = house.connect()
+                break
+            except NotConnected:
+                house.loop.sleep(MS)
+        stream.send(b"GET /up HTTP/1.1\r\nHost: g\r\n\r\n")
+        assert house.answer(stream)[0] == 200
+
+    run(Starts, test)
+
+
 def test_while_discovery_is_silent_the_known_list_serves_and_ready_is_said_after_the_grace():
     up = b"GET /up HTTP/1.1\r\nHost: g\r\n\r\n"
     known = {"generation": 90, "reset": True, "instances": [instance(0)]}
