A connection of the HTTP front that is over is told by one flag: the passed one was dead

Seen on reading the change again: since over is set wherever a connection ends or goes to another process, passed was set there and read nowhere. No change of behaviour; gateway, narrow moments and upgrade tests pass.

--- a/orchidlane/gateway/front.py
+++ b/orchidlane/gateway/front.py
@@ -82,7 +82,6 @@
         "opened",
         "over",
         "parser",
-        "passed",
         "rested",
         "since",
         "stream",
@@ -97,8 +96,7 @@
         self.known = False  # a whole request of it was understood
         self.task: Task | None = None
         self.between = False  # two requests: nothing of the next one is decided
-        self.passed = False  # it is another process's now
-        self.over = False  # nothing more is read or answered here
+        self.over = False  # ended, or another process's now: nothing more is read or answered here
 
 
 class Front:
@@ -154,7 +152,7 @@
 
     def _pass(self, connection: Connection) -> None:
         assert self.pass_on is not None and connection.task is not None
-        connection.passed = connection.over = True
+        connection.over = True
         self.newcomers.pop(connection, None)
         self.idle.pop(connection, None)
         self.connections.pop(connection, None)
