Hosts of the test of descriptors answer each connection by itself; datagrams are in it

Cause, in the test: it answered one connection after another and waited for a request on each. Where the list's word that a host drains comes between an attempt's decision and its connection, the last look (guards.why_not) keeps the request back: that connection brings nothing, and the request goes to the other host, where nobody answered meanwhile. Ruled out: a refusal beyond the quota and a client that was closed unread, as the test would have stopped at "no request came"; a lack of descriptors, as the gateway answered each request.

The test is replaced by a stricter one: hosts answer all connections at once, requests are served while discovery is down, too, eight requests after the list has come go to the host that stays, and the datagrams' socket, which had no test of its own, is heard and tells while clients fill the descriptors.

--- a/tests/processes/platforms.py
+++ b/tests/processes/platforms.py
@@ -14,7 +14,7 @@
 from contextlib import suppress
 from pathlib import Path
 
-from platformhouse import file, instance, settings
+from platformhouse import OK, file, instance, settings
 
 WAIT = 20.0  # seconds that any one thing may take on a busy machine
 UP = b"GET /up HTTP/1.1\r\nHost: g\r\n\r\n"
@@ -41,6 +41,7 @@
         self.generation, self.instances = 1, list(instances)
         self.answers = True
         self.calls = 0
+        self.told = 0  # calls that were answered with the list, all of it sent
         self._watches: list[socket.socket] = []
         self._lock = threading.Lock()
         self._socket = listener()
@@ -59,6 +60,7 @@
                         stream.sendall(
                             b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + self._line()
                         )
+                        self.told += 1
                     self._watches.append(stream)
 
     def _line(self) -> bytes:
@@ -103,6 +105,30 @@
         self._socket.close()
 
 
+class Serving:
+    """Hosts that answer whatever comes, each connection by itself: one that brings nothing holds up no other.
+
+    The gateway makes such connections: an attempt whose host drains while it connects leaves nothing on it.
+    """
+
+    def __init__(self, hosts: list[socket.socket]) -> None:
+        self.got: list[int] = []  # the host of each request, in the order they came
+        for number, host in enumerate(hosts):
+            threading.Thread(target=self._accept, args=(number, host), daemon=True).start()
+
+    def _accept(self, number: int, host: socket.socket) -> None:
+        with suppress(OSError):
+            while True:
+                stream = host.accept()[0]
+                threading.Thread(target=self._answer, args=(number, stream), daemon=True).start()
+
+    def _answer(self, number: int, stream: socket.socket) -> None:
+        with suppress(OSError), stream:
+            while stream.recv(65_536):
+                self.got.append(number)
+                stream.sendall(OK)
+
+
 class Platform:
     """A gateway's process with ``hosts`` listeners of ours; a context."""
 
--- a/tests/processes/test_platform_processes.py
+++ b/tests/processes/test_platform_processes.py
@@ -11,13 +11,24 @@
 import socket
 import subprocess
 import sys
-import threading
 from contextlib import ExitStack, suppress
+from pathlib import Path
 
 import pytest
 from platformhouse import OK, call, file, settings
 
-from processes.platforms import UP, WAIT, Platform, listener, request_at, to_the_end, until
+from orchidlane.loop.world import show
+from processes.platforms import (
+    UP,
+    WAIT,
+    Platform,
+    Serving,
+    free_port,
+    listener,
+    request_at,
+    to_the_end,
+    until,
+)
 
 LAST = OK.replace(
     b"\r\n\r\n", b"\r\nConnection: close\r\n\r\n"
@@ -90,22 +101,8 @@
     """Clients go on to send on every connection that stays open: no reset, no silence, nothing sent on
     unanswered.
     """
-    served: list[bytes] = []
-
-    def serve(host):
-        def one(stream):
-            with suppress(OSError):
-                while data := stream.recv(65_536):
-                    served.append(data)
-                    stream.sendall(OK)
-
-        with suppress(OSError):
-            while True:
-                threading.Thread(target=one, args=(host.accept()[0],), daemon=True).start()
-
     with Platform(tmp_path, hosts=3) as gateway, ExitStack() as streams:
-        for host in gateway.hosts:
-            threading.Thread(target=serve, args=(host,), daemon=True).start()
+        served = Serving(gateway.hosts).got
         clients = [streams.enter_context(gateway.connect()) for _ in range(8)]
         gateway.signal(signal.SIGTERM)
         gateway.signal(signal.SIGTERM)  # twice changes nothing
@@ -167,38 +164,68 @@
 # -- descriptors
 
 
+def unread_datagrams(port: int) -> int:
+    """Bytes that wait at a bound UDP port of this machine (proc(5), /proc/net/udp)."""
+    rows = [row.split() for row in Path("/proc/net/udp").read_text().splitlines()[1:]]
+    return sum(int(row[4].split(":")[1], 16) for row in rows if int(row[1].split(":")[1], 16) == port)
+
+
 @pytest.mark.parametrize("sockets", [64, 256])
 def test_idle_clients_hold_all_that_they_may_and_all_else_still_gets_its_descriptors(tmp_path, sockets):
-    """While discovery is down, too: its calls, hosts' connections, a reload and further clients have room."""
-    with Platform(tmp_path, hosts=2, sockets=sockets) as gateway, ExitStack() as streams:
-        held = []
+    """While discovery is down, too: its calls, hosts' connections, a reload and further clients have room,
+    and datagrams go both ways.
+    """
+    customers = iter(range(10**9))
+    with ExitStack() as streams:
+        peer = streams.enter_context(socket.socket(socket.AF_INET, socket.SOCK_DGRAM))
+        peer.bind(("127.0.0.1", 0))
+        peer.settimeout(WAIT)
+        here = ("127.0.0.1", free_port(socket.SOCK_DGRAM))
+        gateway = streams.enter_context(
+            Platform(
+                tmp_path,
+                hosts=2,
+                sockets=sockets,
+                peer_listen=show(here),
+                peers=[show(here), show(peer.getsockname())],
+                settings=settings(balancers=2, permissions={**settings()["permissions"], "peers": True}),
+            )
+        )
+        served = Serving(gateway.hosts).got
+
+        def ask() -> None:
+            """Of a customer of its own: none goes beyond its quota, each is one that peers are told of."""
+            customer = f"{next(customers):016x}"
+            said = gateway.says(call(left="2.000", client=customer, extras="units=1,spread=2,first=0"))
+            assert said.startswith(b"HTTP/1.1 200"), said
+
         for _ in range(sockets):
-            held.append(streams.enter_context(gateway.connect()))
+            streams.enter_context(gateway.connect())
         gateway.agent.go_down()
-        calls = gateway.agent.calls
+        calls, told = gateway.agent.calls, gateway.agent.told
         until(lambda: gateway.agent.calls >= calls + 4)
         for _ in range(sockets):
-            held.append(streams.enter_context(gateway.connect()))
+            streams.enter_context(gateway.connect())
+        for _ in range(4):
+            ask()
         gateway.agent.instances = [gateway.instance(0, "leaving"), gateway.instance(1)]
         gateway.agent.generation += 1
         gateway.agent.come_back()
-        said: list[bytes] = []
+        until(lambda: gateway.agent.told > told)  # what is sent from now on finds that the list has come
         until(lambda: len(os.listdir(f"/proc/{gateway.process.pid}/fd")) <= sockets)
-
-        def ask():
-            said.append(gateway.says(call(left="2.000")))
-
-        def moved_to_the_one_that_stays() -> bool:
-            asking = threading.Thread(target=ask)
-            asking.start()
-            ready = hosts_with_requests(gateway)
-            for host in ready:
-                answer_at(host)
-            asking.join(WAIT)
-            return ready == [gateway.hosts[1]]
-
-        until(moved_to_the_one_that_stays)
-        assert all(answer.startswith(b"HTTP/1.1 200") for answer in said)
+        before = len(served)
+        for _ in range(8):
+            ask()
+        assert served[before:] == [1] * 8
+        while select.select([peer], [], [], 0)[0]:
+            peer.recv(65_536)
+        ask()
+        assert peer.recv(65_536)
+        gateway.signal(signal.SIGSTOP)
+        peer.sendto(b"x" * 64, here)
+        assert unread_datagrams(here[1]) > 0
+        gateway.signal(signal.SIGCONT)
+        until(lambda: unread_datagrams(here[1]) == 0)
         gateway.signal(signal.SIGHUP)
         gateway.signal(signal.SIGTERM)
         log = gateway.ended()
