Requests behind another one are served at a shutdown; an unused connection keeps its age

Two narrow moments, found by reading and seen over real connections before the change.

Three requests sent along on one connection, then SIGTERM: the first was answered with "connection: close" and the other two, which had come before the signal, were thrown away ("assert 1 == 3" answers, read ahead by us or not). By the protocol they were taken, and our end did not cross them. At fault: front._finish, which ended a connection with the first answer after the drain whatever stood behind it. Now the answer behind which nothing has come is the last one; once no request is waited for any more (front.last) any answer is, so that a client that always has hundreds waiting finds an end (test; without the bound it goes on past a second).

A kept connection that an attempt took and did not use, since the last look kept its request back (the client had left, the host drains), counted as used just now: give_back set idle_since. With it, it could be used at up to 0.6 + 0.6 of the host's idle time, where any request ends as a reset, and reuse.py learned from a wrong age. A new connection without a request is aged from its begin, as before.

Ruled out: that the pipelined bytes were lost by the lingering close or the parser: without SIGTERM all three are answered. Three broken variants are found by the named tests.

--- a/orchidlane/gateway/front.py
+++ b/orchidlane/gateway/front.py
@@ -526,7 +526,7 @@
 
     def _finish(self, connection: Connection, head: Request, answer: Answer, body_read: bool) -> bool:
         """Write an answer; whether the connection goes on."""
-        keep = head.keep_alive and body_read and not self.draining
+        keep = head.keep_alive and body_read and not self._is_last(connection)
         if self.watcher is not None:
             self.watcher.answering(connection.number)
         broken = not self._write(connection, head, answer, keep)
@@ -540,6 +540,15 @@
         self.loop.breathe()
         return True
 
+    def _is_last(self, connection: Connection) -> bool:
+        """Whether we shut down and nothing more has come. Guards against throwing away requests that came
+        behind another one; those that still come when no request is waited for any more end with it.
+        """
+        if not self.draining:
+            return False
+        is_over = self.last is not None and self.loop.now() >= self.last
+        return is_over or not (connection.parser.pending or connection.stream.waiting())
+
     def _write_last(self, connection: Connection, answer: Answer) -> bool:
         """An answer after which nothing of the connection can be understood."""
         if self.watcher is not None:
--- a/orchidlane/gateway/upstream.py
+++ b/orchidlane/gateway/upstream.py
@@ -12,6 +12,7 @@
 
 from __future__ import annotations
 
+from bisect import insort
 from collections import deque
 from typing import TYPE_CHECKING
 
@@ -140,6 +141,14 @@
         connection.idle_since = self.loop.now()
         self._idle.setdefault(server, deque()).append(connection)
 
+    def put_back(self, server: bytes, connection: Connection) -> None:
+        """Nothing was written on it. Guards against one that counts as used: its node goes on counting from
+        the last request, or from its begin.
+        """
+        if connection.rested is None:
+            return self.give_back(server, connection)
+        insort(self._idle.setdefault(server, deque()), connection, key=_idle_since)
+
     def drop(self, server: bytes, connection: Connection) -> None:
         """A request is under way on it, or it is out of step: a close at once says that we gave up."""
         connection.stream.close()
@@ -173,6 +182,10 @@
             self.retire(server, idle.popleft())
 
 
+def _idle_since(connection: Connection) -> int:
+    return connection.idle_since
+
+
 class Upstream:
     """Begins attempts and follows each to its outcome."""
 
@@ -261,7 +274,7 @@
         except NoRoom:
             return Outcome.NEVER_SENT, None
         if (why := why_not(self.loop.now(), self._leaving())) is not None:
-            self.up.pool.give_back(self.server, connection)
+            self.up.pool.put_back(self.server, connection)
             if why == CLIENT_LEFT:  # its front may not have run since: it waits as we did
                 self.up.host.client_gone(self.exchange)
             return Outcome.NEVER_SENT, None
--- a/tests/test_broken_guards.py
+++ b/tests/test_broken_guards.py
@@ -10,6 +10,7 @@
 
 from orchidlane.gateway.front import Front
 from orchidlane.gateway.lines import Objects
+from orchidlane.gateway.upstream import Pool
 from orchidlane.loop import Lingering, Loop, RealWorld
 from orchidlane.loop.real import RealStream
 from orchidlane.platform import discovery, life, shutdown
@@ -106,6 +107,27 @@
         moments.test_what_has_come_when_a_gateway_leaves_is_served_and_what_comes_later_is_not,
         (),
     ),
+    "drains with the first answer": (
+        Front,
+        "_is_last",
+        lambda self, connection: self.draining,
+        moments.test_requests_behind_another_one_when_a_gateway_leaves_are_served_like_it,
+        (True,),
+    ),
+    "drains for ever": (
+        Front,
+        "_is_last",
+        lambda self, connection: self.draining and not connection.stream.waiting(),
+        moments.test_a_client_that_sends_ever_more_finds_an_end_when_a_shutdown_is_over,
+        (),
+    ),
+    "young because it was taken": (
+        Pool,
+        "put_back",
+        Pool.give_back,
+        moments.test_a_connection_that_was_taken_and_not_used_is_no_younger_for_it,
+        (),
+    ),
     "no last look, first attempt": (RealStream, "has_left", no, CONNECTS, (1, "half_close")),
     "no last look, further attempt": (RealStream, "has_left", no, CONNECTS, (2, "abort")),
     "no watch of the end, FIN": (RealStream, "watch_end", no_more, HELD_BACK, ("half_close",)),
--- a/tests/test_narrow_moments.py
+++ b/tests/test_narrow_moments.py
@@ -210,6 +210,60 @@
     assert len(run(*[good] * 6, test=test).seen) == 3 + 5
 
 
+@pytest.mark.parametrize("read", [True, False], ids=["read ahead", "at our machine"])
+def test_requests_behind_another_one_when_a_gateway_leaves_are_served_like_it(read):
+    """The one under way is not the last: those sent along with it had come as well, read by us or not yet."""
+
+    def test(house):
+        house.answer_now = False
+        front = house.life.front
+        if not read:  # the bound of what is read ahead is reached with the first of them
+            front.bounds = dataclasses.replace(front.bounds, pipelined=1)
+        client = house.connect()
+        for _ in range(3):
+            client.send(call())
+        house.until(lambda: house.seen and client.sent and house.life.host.exchanges)
+        house.life.stopping = True
+        front.drain()
+        house.answer_now = True
+        answers = to_the_end(house, client)
+        assert answers.count(b"HTTP/1.1 200") == 3
+        assert answers.count(b"connection: close") == 1 and b"close" in answers.rpartition(b"HTTP/1.1")[2]
+        assert not front.connections
+
+    assert len(run(*[held] * 3, test=test).seen) == 3
+
+
+def test_a_client_that_sends_ever_more_finds_an_end_when_a_shutdown_is_over():
+    """However many requests wait behind one another, the last answer says that it is the last."""
+
+    def test(house):
+        front = house.life.front
+        client = house.connect()
+        said, unsent = b"", b""
+
+        def send_more():
+            nonlocal unsent
+            while len(unsent) < 50_000:  # hundreds always wait
+                unsent += call()
+            with suppress(Closed):  # sent after the end had come
+                unsent = unsent[client.try_send(unsent) :]
+
+        send_more()
+        house.until(lambda: house.life.host.numbers)
+        house.life.stopping = True
+        front.last = house.loop.now() + 200 * MS
+        front.drain()
+        while data := client.recv(deadline=house.loop.now() + 5 * SECOND):
+            said += data
+            send_more()
+        assert front.last <= house.loop.now() < front.last + SECOND
+        assert said.count(b"connection: close") == 1
+        assert not front.connections
+
+    run(*[good] * 3, test=test)
+
+
 def test_a_client_that_waits_for_room_when_a_gateway_leaves_finds_an_end_and_no_reset():
     def test(house):
         house.answer_now = False
@@ -406,6 +460,32 @@
     assert len(run(counted, test=test).seen) == 2
 
 
+def test_a_connection_that_was_taken_and_not_used_is_no_younger_for_it():
+    """Its host closes it by the time since its last request, whoever looked at it meanwhile."""
+
+    def test(house):
+        assert house.ask(call())[0] == 200
+        house.loop.sleep(2 * house.life.pool.times.node_rest)
+        (resting,) = house.life.pool._idle[b"s-0"]
+        resting.idle_since -= house.life.pool.times.node_idle - 150 * MS
+        before = resting.idle_since
+        client = house.connect()
+        client.send(call())
+        client.half_close()  # the attempt has its connection when that is seen
+        house.until(lambda: house.life.host.numbers == 2 and not house.life.host.exchanges)
+        house.until(lambda: not house.life.host.rules.attempts)
+        assert house.life.pool._idle[b"s-0"][0].idle_since == before
+        house.loop.sleep(200 * MS)
+        assert house.ask(call())[0] == 200
+        assert len(house.streams) == 2  # a new one, since the other is as old as it is
+
+    def counted(house, index, stream):
+        house.streams = [*getattr(house, "streams", []), stream]
+        good(house, index, stream)
+
+    assert len(run(counted, test=test).seen) == 2
+
+
 HEAD = b"HTTP/1.1 200 OK\r\n"
 ANSWERS = {
     "cut": (HEAD + b"Content-Length: 5\r\n\r\nab", "half_close", 500),
