A SIGHUP while a gateway starts counts: held back while it reads, and while it binds

Seen, each forced with real processes before the change: (1) SIGHUP while the configuration's file is being read (a named pipe that the test holds open), the file replaced just before: the gateway served by the old discovery ever after, as SIGHUP was ignored until the loop hears it. (2) SIGHUP while the datagrams' address is still held by another process: "reloaded" is logged and the new address followed, then the start followed the old one as its newest word (the old agent was called: "assert not 1"). (3) SIGHUP while the interpreter starts: its default ended the process.

Ruled out: SIGTERM in the same moments ends the process at once by its default, which has taken nothing by then.

--- a/orchidlane/loop/signals.py
+++ b/orchidlane/loop/signals.py
@@ -12,6 +12,13 @@
 GARBAGE = (20_000, 20, 50)  # most goes by its count; rare runs keep pauses few
 
 
+def hold_reload() -> None:
+    """Hold SIGHUP back until ``serve`` hears it. Guards against its default, which ends the process, and
+    against one that comes after the configuration was read and before anybody listens.
+    """
+    signal.pthread_sigmask(signal.SIG_BLOCK, {signal.SIGHUP})
+
+
 def serve(
     loop: Loop,
     world: RealWorld,
@@ -33,6 +40,7 @@
     for number in handlers:
         signal.signal(number, lambda *_: None)
     signal.set_wakeup_fd(signs.writer_number, warn_on_full_buffer=False)
+    signal.pthread_sigmask(signal.SIG_UNBLOCK, {signal.SIGHUP})
 
     def listen() -> None:
         while True:
--- a/orchidlane/platform/__main__.py
+++ b/orchidlane/platform/__main__.py
@@ -4,18 +4,17 @@
 
 import gc
 import os
-import signal
 import sys
 
 from ..loop import Loop, RealWorld
-from ..loop.signals import serve
+from ..loop.signals import hold_reload, serve
 from .config import ConfigError, parse, path_of
 from .life import Life
 
 
 def main() -> int:
     """Serve until SIGTERM; 2 and one line where the configuration can't be used."""
-    signal.signal(signal.SIGHUP, signal.SIG_IGN)  # until the loop hears it: by default it would end us
+    hold_reload()
     try:
         path = path_of(os.environ)
         with open(path, "rb") as file:
--- a/orchidlane/platform/life.py
+++ b/orchidlane/platform/life.py
@@ -111,7 +111,7 @@
             self._datagrams = self._bind(self.loop.world.datagrams, self.config.peer_listen)
             self._spawn(self._hear, kind=PEERS, name="peers")
         self.host.start()
-        self._follow(self.config.discovery)
+        self._follow(self._following)
         self._await_list()
         self.front.listen(self._bind(self.loop.world.listen, self.config.listen))
         self._spawn(self._report, kind=BACKGROUND, name="report")
@@ -247,7 +247,9 @@
         except (ConfigError, OSError) as wrong:
             self.log.say(f"not reloaded: {wrong}")
             return
-        if fresh.discovery != self._following:
+        if not self._watching:  # we still begin: what is followed first is the latest
+            self._following = fresh.discovery
+        elif fresh.discovery != self._following:
             self._follow(fresh.discovery)
         self.log.say("reloaded")
 
--- a/tests/processes/platforms.py
+++ b/tests/processes/platforms.py
@@ -141,6 +141,8 @@
         self.path = folder / "config.json"
         self.sockets = sockets
         self.wait_up = wait_up
+        self.command = [sys.executable, "-m", "orchidlane.platform"]
+        self.environment: dict[str, str] = {}
         told = {
             "listen": f"127.0.0.1:{self.port}",
             "discovery": self.agent.address,
@@ -149,7 +151,12 @@
             "limits": {"cores": 1.0, "memory_mb": 64, "sockets": sockets},
             "settings": settings(),
         }
-        self.path.write_text(json.dumps(file(**{**told, **changes})))
+        self.told = file(**{**told, **changes})
+        self.path.write_text(json.dumps(self.told))
+
+    def move_discovery(self, agent: Agent) -> None:
+        """The configuration names another agent from now on; nobody is told."""
+        self.path.write_text(json.dumps({**self.told, "discovery": agent.address}))
 
     def instance(self, number: int, lifecycle: str = "active") -> dict:
         """An entry of the list for a host of ours."""
@@ -158,8 +165,8 @@
     def __enter__(self) -> Platform:
         limit = (self.sockets, self.sockets)
         self.process = subprocess.Popen(
-            [sys.executable, "-m", "orchidlane.platform"],
-            env={**os.environ, "PROXY_CONFIG": str(self.path)},
+            self.command,
+            env={**os.environ, "PROXY_CONFIG": str(self.path), **self.environment},
             stdout=subprocess.PIPE,
             stderr=subprocess.STDOUT,
             text=True,
--- a/tests/processes/test_platform_processes.py
+++ b/tests/processes/test_platform_processes.py
@@ -4,6 +4,7 @@
 
 from __future__ import annotations
 
+import io
 import json
 import os
 import select
@@ -11,6 +12,7 @@
 import socket
 import subprocess
 import sys
+import tomllib
 from contextlib import ExitStack, suppress
 from pathlib import Path
 
@@ -21,6 +23,7 @@
 from processes.platforms import (
     UP,
     WAIT,
+    Agent,
     Platform,
     Serving,
     free_port,
@@ -30,6 +33,7 @@
     until,
 )
 
+ROOT = Path(__file__).parent.parent.parent
 LAST = OK.replace(
     b"\r\n\r\n", b"\r\nConnection: close\r\n\r\n"
 )  # each request comes on a connection of its own
@@ -131,6 +135,103 @@
             gateway.ended()
 
 
+# -- SIGHUP while it starts
+
+
+def other_discovery(gateway: Platform, streams: ExitStack) -> Agent:
+    """An agent that lists one host alone, the last of the gateway's."""
+    agent = Agent(gateway.instance(len(gateway.hosts) - 1))
+    agent.generation = 2
+    streams.callback(agent.close)
+    return agent
+
+
+def follows(gateway: Platform, agent: Agent) -> None:
+    """The gateway goes by what that agent says, and ends in order."""
+    served = Serving(gateway.hosts).got
+    until(lambda: agent.told and gateway.says(UP).startswith(b"HTTP/1.1 200"))
+    for customer in range(8):
+        assert gateway.says(call(client=f"{customer:016x}")).startswith(b"HTTP/1.1 200")
+    assert served == [len(gateway.hosts) - 1] * 8
+    gateway.signal(signal.SIGTERM)
+    assert "reloaded" in gateway.ended()
+
+
+def writing_to_reader(fifo: Path) -> io.FileIO:
+    """A named pipe's writing end, once somebody reads there."""
+    found: list[int] = []
+
+    def opens() -> bool:
+        with suppress(OSError):  # ENXIO: nobody reads yet
+            found.append(os.open(fifo, os.O_WRONLY | os.O_NONBLOCK))
+        return bool(found)
+
+    until(opens)
+    return io.FileIO(found[0], "w")
+
+
+def test_a_reload_between_reading_the_configuration_and_listening_to_signals_counts(tmp_path):
+    """The file is a pipe that the test holds open: it is being read when the signal comes."""
+    with ExitStack() as streams:
+        gateway = Platform(tmp_path, hosts=2, wait_up=False)
+        agent = other_discovery(gateway, streams)
+        gateway.path.unlink()
+        os.mkfifo(gateway.path)
+        streams.enter_context(gateway)
+        with writing_to_reader(gateway.path) as pipe:
+            pipe.write(json.dumps(gateway.told).encode())
+            gateway.path.unlink()
+            gateway.move_discovery(agent)
+            gateway.signal(signal.SIGHUP)
+        follows(gateway, agent)
+
+
+def test_a_reload_while_an_address_is_still_held_counts(tmp_path):
+    """The process before it holds the datagrams' address; it follows nobody yet."""
+    with ExitStack() as streams:
+        holder = streams.enter_context(socket.socket(socket.AF_INET, socket.SOCK_DGRAM))
+        holder.bind(("127.0.0.1", 0))
+        here = show(holder.getsockname())
+        gateway = Platform(tmp_path, hosts=2, wait_up=False, peer_listen=here, peers=[here])
+        agent = other_discovery(gateway, streams)
+        streams.enter_context(gateway)
+        until(lambda: hears_signals(gateway))
+        gateway.move_discovery(agent)
+        gateway.signal(signal.SIGHUP)
+        assert gateway.process.stdout is not None
+        assert "reloaded" in gateway.process.stdout.readline()
+        holder.close()
+        until(lambda: agent.told and gateway.says(UP).startswith(b"HTTP/1.1 200"))
+        assert not gateway.agent.calls
+        gateway.signal(signal.SIGTERM)
+        gateway.ended()
+
+
+def hears_signals(gateway: Platform) -> bool:
+    """Whether the process has a handler of its own for SIGHUP (proc(5), SigCgt)."""
+    rows = Path(f"/proc/{gateway.process.pid}/status").read_text().splitlines()
+    caught = next(int(row.split()[1], 16) for row in rows if row.startswith("SigCgt"))
+    return bool(caught >> (signal.SIGHUP - 1) & 1)
+
+
+def test_a_signal_to_reload_while_the_interpreter_starts_does_not_end_it(tmp_path):
+    """By the command of the deploy file, held where nothing of ours has run yet."""
+    run = tomllib.loads((ROOT / "deploy" / "balancer.toml").read_text())["run"]
+    assert ".venv/bin/python" in run
+    go_on = tmp_path / "go_on"
+    os.mkfifo(go_on)
+    (tmp_path / "sitecustomize.py").write_text(f"open({str(go_on)!r}).read()\n")
+    prepared = Platform(tmp_path, hosts=2, wait_up=False)
+    prepared.command = ["/bin/sh", "-c", run.replace(".venv/bin/python", sys.executable)]
+    prepared.environment = {"PYTHONPATH": f"{tmp_path}:{ROOT}"}
+    with prepared as gateway:
+        with writing_to_reader(go_on):
+            gateway.signal(signal.SIGHUP)
+        until(lambda: gateway.says(UP).startswith(b"HTTP/1.1 200"))
+        gateway.signal(signal.SIGTERM)
+        gateway.ended()
+
+
 # -- pauses
 
 
