RESP sessions end by the lingering close, whose end is waited for and not polled

Sessions have one end now (_forget), as the HTTP front's connections; a passed one is told by the same flag, 'over'. An upgrade's or shutdown's wait for the last client waits for connections that are ending, too. Lingering.wait is woken by the last end instead of looking every 5 ms.

--- a/orchidlane/gateway/program.py
+++ b/orchidlane/gateway/program.py
@@ -305,6 +305,8 @@
         by = self.loop.now() + self.fleet.times.drain
         while (self.front.connections or self.resp.sessions) and self.loop.now() < by:
             self.loop.sleep(DRAIN_LOOK)
+        self.front.lingering.wait(by)
+        self.resp.lingering.wait(by)
 
     def stop(self) -> None:
         """Begin to drain; while a successor is on trial, let it go on alone or give everything back first."""
--- a/orchidlane/gateway/respfront.py
+++ b/orchidlane/gateway/respfront.py
@@ -13,7 +13,7 @@
 
 from .. import resp
 from ..limits import LedgerError, Outcome
-from ..loop import REQUESTS, Closed, Expired, Listener, Loop, Scope, Stream, Task
+from ..loop import REQUESTS, Closed, Expired, Lingering, Listener, Loop, Scope, Stream, Task
 from ..resp import ErrorReply, Simple
 from ..routes import Generation
 from .customers import Customer
@@ -37,7 +37,7 @@
 class Session:
     """One client: its protocol version, name, and whether it has shown its password."""
 
-    __slots__ = ("authorized", "busy", "decoder", "name", "number", "passed", "stream", "task", "version")
+    __slots__ = ("authorized", "busy", "decoder", "name", "number", "over", "stream", "task", "version")
 
     def __init__(self, stream: Stream, number: int, limits: resp.Limits, authorized: bool) -> None:
         self.stream = stream
@@ -47,7 +47,7 @@
         self.name = b""
         self.authorized = authorized
         self.busy = False  # a command is being carried out
-        self.passed = False  # it is another process's now
+        self.over = False  # ended, or another process's now
         self.task: Task | None = None
 
     @property
@@ -79,6 +79,7 @@
             bulk=self.terms.bulk, count=self.terms.items, total=self.terms.items, depth=4
         )
         self.sessions: dict[Session, None] = {}
+        self.lingering = Lingering(loop, scope, fleet.times.linger, fleet.bounds.lingering)
         self.draining = False
         self.listener: Listener
         self.pass_on: Callable[[Session], None] | None = None  # gets each session between two commands
@@ -132,7 +133,7 @@
 
     def _pass(self, session: Session) -> None:
         assert self.pass_on is not None and session.task is not None
-        session.passed = True
+        session.over = True
         self.sessions.pop(session, None)
         self.pass_on(session)
         self.loop.cancel(session.task)
@@ -160,7 +161,7 @@
         replies = resp.encode(LOST, session.version) * lost
         stream.send(replies, self.loop.now() + self.fleet.times.write)
         if unread is None:
-            stream.close()
+            self.lingering.close(stream)
         else:
             self._begin(session)
 
@@ -192,15 +193,27 @@
         except (Closed, Expired):
             pass
         finally:
-            stream.close()
+            self.lingering.close(stream)
 
     def drain(self) -> None:
-        """Take no more clients; the idle ones are closed, the others once they were answered."""
+        """Take no more clients; the idle ones are ended, the others once they were answered."""
         self.draining = True
         self.listener.close()
         for session in list(self.sessions):
-            if not session.decoder.pending and not session.busy:
-                session.stream.close()
+            if not (session.decoder.pending or session.busy or session.stream.waiting()):
+                self._forget(session)
+
+    def _forget(self, session: Session) -> None:
+        """End a session, from its own task or from another."""
+        if session.over:
+            return
+        session.over = True
+        self.sessions.pop(session, None)
+        self.lingering.close(session.stream)
+        if self.watcher is not None:
+            self.watcher.ended(session.number)
+        if session.task is not None and session.task is not self.loop.current:
+            self.loop.cancel(session.task)
 
     def _client(self, session: Session) -> None:
         try:
@@ -211,21 +224,18 @@
                 session.busy = True
                 self._answer_all(session)
                 session.busy = False
-            if self.pass_on is not None and not session.passed:
+            if self.pass_on is not None and not session.over:
                 self._pass(session)
         except (Closed, Expired):
             pass
         except BaseException:  # as in ``front``
-            if self.watcher is not None and not session.passed:
-                session.passed = True
+            if self.watcher is not None and not session.over:
+                session.over = True
+                self.sessions.pop(session, None)
                 session.stream.release()
             raise
         finally:
-            self.sessions.pop(session, None)
-            if not session.passed:
-                session.stream.close()
-                if self.watcher is not None:
-                    self.watcher.ended(session.number)
+            self._forget(session)
 
     def _more(self, session: Session) -> bool:
         """Read once: long for a new command, shorter for the rest of one."""
--- a/orchidlane/loop/lingering.py
+++ b/orchidlane/loop/lingering.py
@@ -10,11 +10,10 @@
 from __future__ import annotations
 
 from .errors import Closed, Expired
-from .scheduler import BACKGROUND, Loop, Scope
+from .scheduler import BACKGROUND, Loop, Scope, Task
 from .world import Stream
 
 READ_MOST = 262_144  # bytes read and thrown away of one connection
-LOOK = 5_000  # microseconds between two looks whether any is left
 
 
 class Lingering:
@@ -26,6 +25,7 @@
         self.span = span
         self.most = most
         self._ending: dict[Stream, None] = {}  # the longest first
+        self._waiting: Task | None = None  # until none is ending
 
     def __len__(self) -> int:
         return len(self._ending)
@@ -54,11 +54,19 @@
         finally:
             self._ending.pop(stream, None)
             stream.close()
+            if not self._ending and self._waiting is not None:
+                self.loop.wake(self._waiting)
 
     def wait(self, by: int) -> None:
-        """Wait until none is ending any more, at the latest until ``by``."""
-        while self._ending and self.loop.now() < by:
-            self.loop.sleep(min(LOOK, by - self.loop.now()))
+        """Wait until none is ending any more, at the latest until ``by``; one task at a time."""
+        self._waiting = self.loop.current
+        try:
+            while self._ending:
+                self.loop.park(by)
+        except Expired:
+            pass
+        finally:
+            self._waiting = None
 
 
 def _read_out(stream: Stream, left: int) -> int:
--- a/tests/test_respfront.py
+++ b/tests/test_respfront.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import msgspec
+import pytest
 from house import GET, KEY, MS, SECOND, SETTINGS, House, good
 from test_gateway import TIGHT
 
@@ -178,5 +179,64 @@
     run(test, limits={"connections": 2})
 
 
+def to_the_end(house: House, stream) -> bytes:
+    """All up to an end in order; a reset raises Closed."""
+    found = b""
+    while data := stream.recv(deadline=house.loop.now() + 5 * SECOND):
+        found += data
+    return found
+
+
+STRAY = b"x" * 200_000  # more than is read at once
+
+
+@pytest.mark.parametrize(
+    ("raw", "reply"),
+    [(encode(["QUIT"]), b"+OK\r\n"), (b"*1\r\n$x\r\n", b"-ERR Protocol error")],
+    ids=["quit", "out of step"],
+)
+def test_a_last_reply_is_whole_though_unread_bytes_wait_behind_its_command(raw, reply):
+    def test(house):
+        stream = house.world.connect(DOOR)
+        stream.send(raw + STRAY)
+        assert to_the_end(house, stream).startswith(reply)
+        assert not house.program.resp.sessions
+
+    run(test)
+
+
+def test_a_client_beyond_the_bound_that_sent_already_hears_why_it_goes():
+    def test(house):
+        first = house.world.connect(DOOR)
+        first.send(encode(["PING"]))
+        assert replies(house, first, 1)
+        second = house.world.connect(DOOR)
+        second.send(take() + STRAY)
+        assert to_the_end(house, second) == b"-ERR max number of clients reached\r\n"
+
+    run(test, limits={"connections": 1})
+
+
+def test_what_has_come_when_a_gateway_leaves_is_answered_and_a_command_that_crosses_its_end_resets_nothing():
+    def test(house):
+        asking, resting = house.world.connect(DOOR), house.world.connect(DOOR)
+        for stream in (asking, resting):
+            stream.send(encode(["PING"]))
+            assert replies(house, stream, 1)
+        front = house.program.resp
+        house.loop.freeze(house.process)  # the command is there, and no task of the gateway has run since
+        asking.send(take())
+        house.loop.sleep(50 * MS)
+        granted = front.service.granted
+        front.drain()
+        house.loop.thaw(house.process)
+        resting.send(take())  # crosses the end
+        assert to_the_end(house, resting) == b""
+        assert to_the_end(house, asking).startswith(b"*3\r\n:1\r\n")
+        assert front.service.granted == granted + 1
+
+    run(test)
+
+
 def test_settings_of_limits_have_defaults():
     assert msgspec.structs.asdict(parse_fleet(SETTINGS, "f").limits)["token_life"] == 3 * SECOND
