A request beyond what may be open is refused at once, not held back like a wrong one

Seen over a real connection: with as many requests open as settings allow (openCap 1), the next one's 503 came only after times.wrong, 0.5 s here ('Expired' in the test, where it is 60 s), and its connection stood among those that go first to make room, so that it could hear nothing. At fault: front._one, which paused for any answer from 400 on; the pause is against clients that send what can't be used again at once, which is 4xx. GET /up before a gateway is ready waited as long, too. Ruled out: that the refusal itself came late, as clients.understand decides in the same turn.

--- a/orchidlane/gateway/front.py
+++ b/orchidlane/gateway/front.py
@@ -314,7 +314,7 @@
             self.watcher.began(connection.number)
         found = self.clients.understand(head, len(self.host.exchanges))
         if isinstance(found, Answer):
-            if found.status >= 400:
+            if 400 <= found.status < 500:  # the client's own fault; what is ours is said at once
                 self._pause(connection)
             return self._finish(connection, head, found, body_read=head.length == 0)
         exchange = self._exchange(connection, head, found)
--- a/tests/test_narrow_moments.py
+++ b/tests/test_narrow_moments.py
@@ -178,6 +178,31 @@
     assert len(run(good, test=test).seen) == 1
 
 
+def test_a_request_beyond_what_may_be_open_is_refused_at_once_and_not_held_like_a_wrong_one():
+    """Held back, its answer came 0.5 s late, or never where its connection went meanwhile to make room."""
+
+    def test(house):
+        house.answer_now = False
+        front = house.life.front
+        front.times = dataclasses.replace(front.times, wrong=60 * SECOND)
+        busy = house.connect()
+        busy.send(call())
+        house.until(lambda: house.seen)
+        crowded = house.connect()
+        crowded.send(call())
+        assert crowded.recv(deadline=house.loop.now() + 5 * SECOND).startswith(b"HTTP/1.1 503")
+        crowded.send(call())
+        assert crowded.recv(deadline=house.loop.now() + 5 * SECOND).startswith(b"HTTP/1.1 503")
+        house.life.stopping = True
+        crowded.send(b"GET /up HTTP/1.1\r\nHost: g\r\n\r\n")
+        assert crowded.recv(deadline=house.loop.now() + 5 * SECOND).startswith(b"HTTP/1.1 503")
+        house.answer_now = True
+        assert house.answer(busy)[0] == 200
+
+    permissions = {**settings()["permissions"], "openCap": 1}
+    assert len(run(held, test=test, settings=settings(permissions=permissions)).seen) == 1
+
+
 # -- SIGTERM
 
 
