A closed customer is told of besides as often as the logarithm of its set's size, no more

Change: each gateway counts how often it told of a closing and stops at the logarithm of the set's size, by which each telling one member at random reaches all as a rule; the next closing begins anew. The count is part of a module's dump (a trailing field, older files have none); a successor tells of them anew.

--- a/orchidlane/gateway/probe.py
+++ b/orchidlane/gateway/probe.py
@@ -108,6 +108,7 @@
             idle_queue=[one for one in header.state.idle_queue if one == number],
             changed=[one for one in header.state.changed if one == number],
             closed=[one for one in header.state.closed if one == number],
+            told=[],
             requests=[],
             detached=[],
             asked=[],
@@ -144,7 +145,7 @@
     check_build(header.build)
     state = msgspec.structs.replace(header.state, accounts=[], requests=[], detached=[], idle_queue=[])
     gateway = record.restore(
-        header.module_settings(), msgspec.structs.replace(state, changed=[], closed=[], asked=[])
+        header.module_settings(), msgspec.structs.replace(state, changed=[], closed=[], told=[], asked=[])
     )
     gateway.now = _moment(header)
     found: dict[str, PlanCounts] = defaultdict(PlanCounts)
--- a/orchidlane/record/dump.py
+++ b/orchidlane/record/dump.py
@@ -46,6 +46,7 @@
     detached: list[list[Any]]  # attempts whose request has ended
     owed: list[tuple[int, list[tuple[int, int]]]] = []  # rank, its customers and which keeper it is tried as
     closed: list[int] = []
+    told: list[int] = []  # how often each that is closed was told of besides; older files have none
 
 
 def dump(gateway: Gateway, customers: list[int] | None = None, accounts: bool = True) -> Dump:
@@ -74,6 +75,7 @@
     cells = [(cell, hosts.places(pool.hosts)) for cell, pool in gateway.cells.items()]
     zones = [(zone, hosts.places(pool.hosts)) for zone, pool in gateway.zones.items()]
     warming = hosts.places(gateway.warming)
+    closed = {one: told for one, told in gateway.closed.items() if whole or one in kept}
     return Dump(
         format=FORMAT,
         plain={name: copy(getattr(gateway, name)) for name in PLAIN},  # a list goes on changing
@@ -93,7 +95,8 @@
         requests=requests,
         detached=detached,
         owed=[(rank, list(owed.items())) for rank, owed in gateway.owed.items()] if whole else [],
-        closed=list(gateway.closed) if whole else [one for one in gateway.closed if one in kept],
+        closed=list(closed),
+        told=list(closed.values()),
     )
 
 
@@ -195,7 +198,8 @@
         for customer in (*kept.idle_queue, *kept.changed, *kept.closed):
             made.accounts[customer]  # one that is not there does not fit: the module would stumble over it
         made.idle_queue = deque(kept.idle_queue)
-        made.changed, made.closed = dict.fromkeys(kept.changed), dict.fromkeys(kept.closed)
+        made.changed = dict.fromkeys(kept.changed)
+        made.closed = dict(zip(kept.closed, kept.told or [0] * len(kept.closed), strict=True))
         made.heard = dict(kept.heard)
         made.owed = {rank: dict(owed) for rank, owed in kept.owed}
         made.asked = deque(tuple(row) for row in kept.asked)  # type: ignore[misc]
--- a/orchidlane/rules.py
+++ b/orchidlane/rules.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import math
 import random
 from itertools import islice
 
@@ -316,7 +317,7 @@
         if not account.closed:
             self.closed.pop(account.customer, None)
         elif account.customer not in self.closed:
-            self.closed[account.customer] = None
+            self.closed[account.customer] = 0
 
     def _ceiling_part(self, account: Account) -> float:
         """Rule 5: each gateway alone fills its part of the ceiling's store, from nothing at its start. Half
@@ -481,11 +482,18 @@
 
     def _also(self, rank: int, rows: list[bytes]) -> list[bytes]:
         """Guards against more pushes than messages: the room that a message has left tells of customers that
-        are closed, the latest first. Sets that a push reaches at once need no more of it."""
-        latest = [self.accounts[customer] for customer in islice(reversed(self.closed), LOOK_AT)]
-        near = (a for a in latest if a.size > FAN and self._place(rank, a.first) < a.size)
-        more = (row for a in near if (row := self._row(a, 0, brief=True)) and a.closed)  # lifted by its row
-        return messages.fit((*rows, *islice(more, ALSO_MOST)))
+        are closed, the latest first. Sets that a push reaches at once need no more of it. Bytes have a price:
+        each gateway tells of one as often as its set needs to hear of it all, the logarithm of its size."""
+        latest = list(islice(reversed(self.closed.items()), LOOK_AT))
+        due = (account for one, told in latest if told < math.log((account := self.accounts[one]).size))
+        near = (a for a in due if a.size > FAN and self._place(rank, a.first) < a.size)
+        # Its row lifts an account, which may open it.
+        brief = ((a, row) for a in near if (row := self._row(a, 0, brief=True)) and a.closed)
+        more = list(islice(brief, ALSO_MOST))
+        found = messages.fit((*rows, *(row for _, row in more)))
+        for account, _ in more[: len(found) - len(rows)]:
+            self.closed[account.customer] += 1
+        return found
 
     def _row(self, account: Account, reach: int, rights: float = 0.0, brief: bool = False) -> bytes:
         """One customer's row; a brief one has no counts, its total is enough to close the customer there."""
--- a/orchidlane/state.py
+++ b/orchidlane/state.py
@@ -140,7 +140,7 @@
         self.accounts: dict[int, Account] = {}
         self.idle_queue: deque[int] = deque()  # customers, in the order of their next look
         self.changed: dict[int, None] = {}  # customers whose counts changed since they were told
-        self.closed: dict[int, None] = {}  # customers that are closed, the latest last
+        self.closed: dict[int, int] = {}  # customers that are closed, the latest last: how often told besides
         self.heard: dict[int, int] = {}  # rank -> when it was last heard
         self.asked: deque[tuple[int, int, int, int]] = deque()  # when, rank, customer, which keeper
         self.owed: dict[int, dict[int, int]] = {}  # rank -> customers it is to be told of, as which keeper
--- a/orchidlane/upgrade/tables.py
+++ b/orchidlane/upgrade/tables.py
@@ -120,7 +120,7 @@
     gateway.accounts = Accounts(accounts)
     gateway.idle_queue.extend(accounts)  # the order of looks is free
     gateway.changed = {customer: None for customer in changed if customer in accounts}
-    gateway.closed = {customer: None for customer in closed if customer in accounts}
+    gateway.closed = {customer: 0 for customer in closed if customer in accounts}  # told of anew
     for host in gateway.hosts.values():
         host.out = 0
     return gateway
--- a/tests/test_counts.py
+++ b/tests/test_counts.py
@@ -503,6 +503,26 @@
     assert [row.customer for row in bodies(bench.log)[0][1].rows] == [7]
 
 
+def test_a_closed_customer_is_told_of_besides_as_often_as_its_set_needs_and_again_when_it_closes_again():
+    """Bytes have a price: in each message it cost 0.05 of G on roster-kl-later, big-1 (simulated)."""
+    bench = Bench(gateways=200, peer_intake=200.0)
+
+    def told_besides(first: int) -> int:
+        mark = len(bench.log)
+        for customer in range(first, first + 40):
+            let_in(bench, 1, start=customer, customer=customer, size=200)
+        messages = bodies(bench.log[mark:])
+        assert len(messages) >= 20
+        return sum(row.customer == 100 for _, message in messages for row in message.rows)
+
+    closed(bench, 100, 200)
+    assert told_besides(1_000) == 6  # the logarithm of 200 is 5.3
+    assert told_besides(2_000) == 0
+    bench.now += 8 * SECOND
+    say(bench, 1, told([(1, TICK - 9, 40.0)], room=1.0, total=40.0, customer=100, size=200))
+    assert told_besides(3_000) == 6
+
+
 def test_customers_that_are_open_again_are_told_no_more():
     bench = Bench(gateways=200)
     closed(bench, 100, 200)
