A process that ends waits for ending connections: the test of SIGTERM ends its own, another holds on

Its client never ended its connection after "connection: close"; since RESP's sessions end by the lingering close, program._until_drained waits for what is ending, times.linger (1 s) at most, where the process went at once and its end would have reset what crosses it. That wait is meant (RFC 9112 section 9.6), so the test was wrong there.

It is replaced by two: the same with a client that ends its connection, whose process is gone as soon as before; and one whose client sends once more and never ends: an end in order, no reset, the process is there until then and gone after times.linger. Without the wait the second fails.

--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -490,12 +490,33 @@
         status, headers, _ = house.answer(stream)
         assert status == 200
         assert header(headers, b"connection") == b"close"
+        stream.close()
         house.loop.sleep(500 * MS)
         assert not house.process.tasks
 
     run(slow, test=test)
 
 
+def test_a_process_that_ends_waits_for_connections_that_are_ending_and_no_longer_than_they_linger():
+    """Its end would reset them over what still comes, and a last answer might go with that."""
+
+    def test(house):
+        stream = house.connect()
+        stream.send(GET)
+        house.loop.sleep(100 * MS)
+        house.program.stop()
+        house.loop.sleep(100 * MS)
+        assert house.answer(stream)[0] == 200
+        stream.send(GET)  # crosses the end
+        house.loop.sleep(100 * MS)
+        assert house.process.tasks
+        assert stream.recv(deadline=house.loop.now() + SECOND) == b""  # an end, no reset
+        house.loop.sleep(int(house.program.fleet.times.linger))  # which it keeps open
+        assert not house.process.tasks
+
+    run(good, test=test)
+
+
 def test_forged_datagrams_change_nothing():
     def test(house):
         socket = house.world.datagrams(("127.0.0.1", 0))
