Real processes: a request that waits for a host at SIGTERM, and connections that come up late

The host's listen queue is kept full, so that its machine answers no SYN; what the gateway has read and which connections are under way is asked of the kernel (proc(5)), so that each order is forced.

--- a/tests/processes/test_platform_processes.py
+++ b/tests/processes/test_platform_processes.py
@@ -101,6 +101,72 @@
         assert not got_by(*gateway.hosts)
 
 
+def test_sigterm_finds_a_request_that_waits_for_a_host_and_it_is_served_once_there_is_one(tmp_path):
+    with Platform(tmp_path, hosts=1) as gateway, gateway.connect() as client:
+        gateway.agent.tell(gateway.instance(0, "leaving"))
+        until(lambda: gateway.says(call(left="0.100", client="0000000000000009")).startswith(b"HTTP/1.1 503"))
+        got_by(*gateway.hosts)
+        client.sendall(call(left="1.900"))
+        until(lambda: unread_at(gateway, client) == 0)
+        gateway.signal(signal.SIGTERM)
+        assert not select.select([client], [], [], 0.1)[0]  # neither refused nor ended
+        gateway.agent.tell(gateway.instance(0))
+        answer_at(gateway.hosts[0])
+        answer = to_the_end(client)
+        assert answer.startswith(b"HTTP/1.1 200") and answer.count(b"HTTP/1.1") == 1
+        gateway.ended()
+        assert not got_by(*gateway.hosts)
+
+
+def sockets_in(state: int, ours: int, theirs: int) -> list[int]:
+    """Bytes unread at each TCP socket of this machine between two ports in a state (proc(5), net/tcp)."""
+    rows = [row.split() for row in Path("/proc/net/tcp").read_text().splitlines()[1:]]
+    found = [row for row in rows if int(row[3], 16) == state]
+    return [
+        int(row[4].split(":")[1], 16)
+        for row in found
+        if ours in (0, int(row[1].split(":")[1], 16)) and theirs in (0, int(row[2].split(":")[1], 16))
+    ]
+
+
+ESTABLISHED, SYN_SENT = 1, 2
+
+
+def unread_at(gateway: Platform, client: socket.socket) -> int:
+    """What the gateway has not read of a client's bytes."""
+    return sum(sockets_in(ESTABLISHED, gateway.port, client.getsockname()[1]))
+
+
+def test_a_connection_that_comes_up_late_carries_a_request_once_and_in_its_time_or_not_at_all(tmp_path):
+    """The host's queue is full, so that its machine answers no SYN until the test takes those who wait."""
+    with Platform(tmp_path, hosts=1) as gateway, ExitStack() as streams:
+        host, port = gateway.hosts[0], gateway.hosts[0].getsockname()[1]
+        host.listen(0)
+        for _ in range(2):  # one more than the backlog
+            waits = streams.enter_context(socket.socket())
+            waits.setblocking(False)
+            waits.connect_ex(host.getsockname())
+        until(lambda: len(sockets_in(ESTABLISHED, 0, port)) >= 1)
+        too_late, in_time = streams.enter_context(gateway.connect()), streams.enter_context(gateway.connect())
+        too_late.sendall(call("bill", body=b"1", left="0.300"))
+        until(lambda: sockets_in(SYN_SENT, 0, port))
+        assert too_late.recv(65_536).startswith((b"HTTP/1.1 503", b"HTTP/1.1 500"))
+        in_time.sendall(call("bill", body=b"2", left="2.000"))
+        until(lambda: sockets_in(SYN_SENT, 0, port))
+        host.listen(64)
+        found = b""
+        while b"\r\n\r\n2" not in found:
+            stream = streams.enter_context(host.accept()[0])
+            if select.select([stream], [], [], 0.5)[0]:
+                found += stream.recv(65_536)
+        stream.sendall(LAST)
+        assert in_time.recv(65_536).startswith(b"HTTP/1.1 200")
+        assert found.count(b"POST /bill") == 1
+        gateway.signal(signal.SIGTERM)
+        gateway.ended()
+        assert not got_by(host)
+
+
 def test_what_comes_on_open_connections_until_the_end_is_answered_or_finds_an_end(tmp_path):
     """Clients go on to send on every connection that stays open: no reset, no silence, nothing sent on
     unanswered.
