A gateway that has sent nothing for 3 s lets one request in, whatever its marks say

Probe on scratch copies (a line when nothing was sent for 4 s and 15 were refused): 50 and 53 gateways of 188, for example "SHUN quota 7 busy 36 unheard 0.22 met 1.63 seen 3.51 closed 152 of 247 warm 53", "GAP 8.13 quota 41 busy 62 ... met 3.90".

Cause: rules._advance refuses a first send where the expected time is over the patience; for hosts not met lately that is the mark of all, which two time-outs lift beyond it for over 4 s (a mark fades over 3 s), and while all is refused nothing is learnt.

Change: where nothing was sent for FORGET, over which a mark fades, the request goes all the same; one, since the clock begins anew with it. Its time is part of a module's dump.

Test red before: no attempt for 8 s at ten requests a second.

--- a/orchidlane/record/dump.py
+++ b/orchidlane/record/dump.py
@@ -19,7 +19,7 @@
 from .codec import FormatError, pack_event, unpack_event
 
 FORMAT = 1
-PLAIN = ("now", "filled", "born", "usual", "budget", "unheard", "allowance")
+PLAIN = ("now", "filled", "born", "last_sent", "usual", "budget", "unheard", "allowance")
 HOST = ("out", "active", "typical")
 ACCOUNT = tuple(field.name for field in dataclasses.fields(Account))
 
@@ -188,7 +188,8 @@
 
     def gateway(self) -> Gateway:
         made, kept = self.made, self.kept
-        plain = {"born": kept.plain["now"], **kept.plain}  # older files have none
+        now = kept.plain["now"]
+        plain = {"born": now, "last_sent": now, **kept.plain}  # older files have none
         for name in PLAIN:
             value = plain[name]
             setattr(made, name, list(value) if isinstance(value, list | tuple) else value)
--- a/orchidlane/rules.py
+++ b/orchidlane/rules.py
@@ -64,7 +64,7 @@
         self.born = now  # from then on, rights fill up for customers that were not met yet, too
         self.rank, self.alone = settings.rank, not settings.may_tell_peers
         self.usual = [START_OF_AIM * c.aim for c in settings.classes]
-        self.budget, self.unheard = REPEAT_MOST, 0.0
+        self.budget, self.unheard, self.last_sent = REPEAT_MOST, 0.0, now
         self.allowance = self.per_second = INTAKE_SHARE * settings.peer_intake
 
     def start(self) -> list[api.Action]:
@@ -109,8 +109,9 @@
         if host is None:
             span = min(HOLD, last_call - self.now)
             return self.actions.append(api.SetTimer(span, request.event.request + 1))
-        if first and self._expected(host, request.event.kind) > self._patience(request):
-            return self._end(request)
+        late = first and self._expected(host, request.event.kind) > self._patience(request)
+        if late and self.now - self.last_sent < FORGET:
+            return self._end(request)  # else one is let in: only an attempt can show that a jam is over
         return self._send(request, host)
 
     def _admits(self, request: Request) -> bool:
@@ -186,6 +187,7 @@
             self._spend(request.account, request.event.units)
         if not host.out:
             host.active = self.now
+        self.last_sent = self.now
         self.begin(request, Attempt(host, self.now, host.out + BASE))
         request.lot = self.random.random()
         self.actions.append(api.Send(request.event.request, host.entry.server, request.until))
--- a/tests/test_servers.py
+++ b/tests/test_servers.py
@@ -39,6 +39,20 @@
     assert serve(bench, 300, lambda _: 60_000) is not None
 
 
+def test_a_gateway_in_a_jam_lets_one_in_every_few_seconds_and_no_more():
+    """Refusing all, it learnt nothing: a third of a fleet sent nothing for 4 to 8 s (roll+mass)."""
+    bench = Bench(servers=200)
+    for request in range(1, 80):
+        serve(bench, request, lambda _: 6 * SECOND)
+    sent = [bench.now]
+    for request in range(100, 220):  # ten a second, and the jam goes on
+        sent += [bench.now] * (serve(bench, request, lambda _: 6 * SECOND) is not None)
+        bench.run(90_000)
+    apart = [later - earlier for earlier, later in zip(sent, [*sent[1:], bench.now], strict=True)]
+    assert 3 <= len(sent) <= 5
+    assert max(apart) < 3.5 * SECOND and min(apart[:-1]) >= 3 * SECOND
+
+
 def test_slow_servers_get_less_and_come_back():
     bench = Bench(servers=4)
     slow = entry(0).server
