--- a/orchidlane/gateway/front.py
+++ b/orchidlane/gateway/front.py
@@ -269,7 +269,11 @@
 
     def _is_at_rest(self, connection: Connection) -> bool:
         """Whether nothing of a next request has come, as far as our machine knows."""
-        return connection.between and not connection.parser.pending and not connection.stream.waiting()
+        return connection.between and not self._has_more(connection)
+
+    def _has_more(self, connection: Connection) -> bool:
+        """Whether bytes have come beyond what was used, read by us or not yet; an end counts as well."""
+        return bool(connection.parser.pending) or connection.stream.waiting()
 
     def _client(self, connection: Connection) -> None:
         try:
@@ -547,7 +551,7 @@
         if not self.draining:
             return False
         is_over = self.last is not None and self.loop.now() >= self.last
-        return is_over or not (connection.parser.pending or connection.stream.waiting())
+        return is_over or not self._has_more(connection)
 
     def _write_last(self, connection: Connection, answer: Answer) -> bool:
         """An answer after which nothing of the connection can be understood."""
