--- a/tests/processes/test_platform_processes.py
+++ b/tests/processes/test_platform_processes.py
@@ -118,10 +118,12 @@
         assert not got_by(*gateway.hosts)
 
 
-def sockets_in(state: int, ours: int, theirs: int) -> list[int]:
-    """Bytes unread at each TCP socket of this machine between two ports in a state (proc(5), net/tcp)."""
-    rows = [row.split() for row in Path("/proc/net/tcp").read_text().splitlines()[1:]]
-    found = [row for row in rows if int(row[3], 16) == state]
+def sockets_in(state: int | None, ours: int, theirs: int, kind: str = "tcp") -> list[int]:
+    """Bytes unread at each socket of this machine between two ports, 0 for any, in a state or, with None, in
+    any (proc(5), net/tcp and net/udp).
+    """
+    rows = [row.split() for row in Path(f"/proc/net/{kind}").read_text().splitlines()[1:]]
+    found = [row for row in rows if state in (None, int(row[3], 16))]
     return [
         int(row[4].split(":")[1], 16)
         for row in found
@@ -332,9 +334,8 @@
 
 
 def unread_datagrams(port: int) -> int:
-    """Bytes that wait at a bound UDP port of this machine (proc(5), /proc/net/udp)."""
-    rows = [row.split() for row in Path("/proc/net/udp").read_text().splitlines()[1:]]
-    return sum(int(row[4].split(":")[1], 16) for row in rows if int(row[1].split(":")[1], 16) == port)
+    """Bytes that wait at a bound UDP port of this machine."""
+    return sum(sockets_in(None, port, 0, "udp"))
 
 
 @pytest.mark.parametrize("sockets", [64, 256])
