Policy: a gateway that may not gossip no longer asks a token owner for tokens

Cause: admission.admits reports an empty ceiling through token_owner.report_spending without looking at is_standalone, which the other two callers do.

Change: report_spending itself does nothing on a standalone gateway, so no caller can forget.

--- a/orchidlane/policy/token_owner.py
+++ b/orchidlane/policy/token_owner.py
@@ -23,7 +23,12 @@
 
 
 def report_spending(state: PolicyState, account: Account, owner_index: int = 0) -> None:
-    """Report the account to its token owner, or to a stand-in of it, as soon as the allowance permits."""
+    """Report the account to its token owner, or to a stand-in of it, as soon as the allowance permits.
+
+    A standalone gateway reports to nobody.
+    """
+    if state.is_standalone:
+        return
     if owner_index >= min(MAX_TOKEN_OWNERS, account.replica_set_size):
         # Nobody replies: from here on the share of unreachable peers is left to them instead.
         account.unconfirmed = False
--- a/tests/harness/event_story.py
+++ b/tests/harness/event_story.py
@@ -4,7 +4,7 @@
 
 import random
 from pathlib import Path
-from typing import NamedTuple
+from typing import Any, NamedTuple
 
 from click.testing import CliRunner
 
@@ -37,9 +37,9 @@
 class EventStory:
     """Random events for a policy: requests, outcomes, timers, endpoint lists and peers' messages."""
 
-    def __init__(self, seed: int) -> None:
+    def __init__(self, seed: int, **changes: Any) -> None:
         self.rng = random.Random(seed)
-        self.bench = PolicyHarness(endpoints=5, seed=seed)
+        self.bench = PolicyHarness(endpoints=5, seed=seed, **changes)
         self.number = 0
         self.attempts_in_flight: list[AttemptInFlight] = []
         self.last_attempts: dict[int, int] = {}  # number of the last attempt, by request
--- a/tests/test_permissions.py
+++ b/tests/test_permissions.py
@@ -2,9 +2,13 @@
 
 from __future__ import annotations
 
+import pytest
+from harness.event_story import EventStory
 from harness.policy_harness import CEILING_PLAN, PolicyHarness, actions_of
 
-from orchidlane.policy import RejectRequest, SendPeerMessage
+from orchidlane.policy import CancelAttempt, CheckHealth, RejectRequest, SendPeerMessage
+
+FORBIDDEN_ACTIONS = (SendPeerMessage, CancelAttempt, CheckHealth)
 
 
 def test_a_gateway_that_may_not_gossip_sends_no_peer_message_when_a_ceiling_is_reached():
@@ -21,3 +25,12 @@
         harness.request(request, customer=request, replica_set_size=3)
     harness.advance(2_000_000)
     assert actions_of(harness.actions, SendPeerMessage) == []
+
+
+# Guards against one more path by which an event leads to an action that the settings rule out.
+@pytest.mark.parametrize("seed", range(20))
+def test_no_event_makes_a_gateway_without_permissions_do_what_needs_one(seed):
+    story = EventStory(seed, may_gossip=False, may_cancel=False, may_check_health=False)
+    for _ in range(400):
+        story.step()
+    assert actions_of(story.bench.actions, FORBIDDEN_ACTIONS) == []
