Event loop: a sleep that ends early takes its timer with it

Cause: EventLoop.sleep left its timer pending when a cancel, a child's failure or a wake ended the sleep; when due, it woke the task in a later wait.

Change: sleep cancels its timer when its wait ends, as park does. The other callers of call_at cancel theirs or wake no task.

--- a/orchidlane/runtime/scheduler.py
+++ b/orchidlane/runtime/scheduler.py
@@ -156,8 +156,11 @@
     def sleep(self, duration_us: int) -> None:
         """Wait for a duration. Raises Cancelled."""
         if duration_us > 0:
-            self.call_at(self.now() + duration_us, self._wake_sleeper, self.current)
-            self.park()
+            timer = self.call_at(self.now() + duration_us, self._wake_sleeper, self.current)
+            try:
+                self.park()
+            finally:
+                self.timers.cancel(timer)  # a late one must not end another wait of the task
         else:
             self.yield_to_others()
 
--- a/tests/test_event_loop.py
+++ b/tests/test_event_loop.py
@@ -4,6 +4,7 @@
 
 import subprocess
 import sys
+from contextlib import suppress
 
 import pytest
 from harness.constants import MS, SECOND
@@ -119,6 +120,35 @@
     run_with_log(loop, work)
 
 
+# Guards against timers of sleeps that ended early: each would wake its task, or keep it in memory.
+@pytest.mark.parametrize("end_early", ["cancel", "fail", "wake"])
+def test_a_sleep_that_ends_early_leaves_no_timer(loop: EventLoop, end_early: str) -> None:
+    def sleep(log: list) -> None:
+        log.append(loop.current)
+        loop.sleep(100 * SECOND)
+
+    def end_sleep(log: list, group: TaskGroup) -> None:
+        if end_early == "cancel":
+            group.cancel()
+        elif end_early == "wake":
+            loop.wake(log[0])
+        else:
+            raise ZeroDivisionError
+
+    def run_group(log: list) -> None:
+        with TaskGroup(loop) as group:
+            group.spawn(sleep, log)
+            loop.sleep(MS)
+            end_sleep(log, group)
+
+    def work(log: list) -> None:
+        with suppress(ZeroDivisionError):
+            run_group(log)
+        assert len(loop.timers) == 0
+
+    run_with_log(loop, work)
+
+
 def test_a_busy_task_does_not_starve_others(loop: EventLoop) -> None:
     def busy(log: list) -> None:
         for _ in range(2_000):
