Task group: a child's failure is a state of its owner, not a wake-up that can be lost

What was seen: an owner whose child raises while the owner is ready (another wake-up, an expiry, yield_to_others) goes on to its next wait and gets DeadlineExceededError after 10.005 s in place of the error after 5 ms; without a deadline it waits for ever with all children cancelled. Owners of that kind: PlatformGateway.run, GatewayProcess.run, signals.

Cause: the failure was a value passed to EventLoop.wake, which does nothing for a task that is not parked, and an Exception, which a block's own "except Exception" takes.

Change: the failure is noted in the owner, as a cancel is, ends its current or next wait and each later one until the block is left, and is a Cancelled. Leaving a block waits for all children, whatever interrupts it; a failure counts before a cancel. The same fault elsewhere: a bound socket of the simulated backend woke a waiter whose wait had ended otherwise.

--- a/orchidlane/runtime/scheduler.py
+++ b/orchidlane/runtime/scheduler.py
@@ -5,6 +5,8 @@
 - it may take a deadline in microseconds of the loop's clock and then raises ``DeadlineExceededError``;
 - it raises ``Cancelled`` once the task is cancelled, and so does every later wait; a task that was cancelled
   before it ran still begins, so that its cleanup is done;
+- it raises a ``Cancelled`` of its task group once a child of the group has failed, until the block is left;
+- both are states of the task, not values of a wake-up: they reach it also where it is ready and not parked;
 - after an exception nothing is left behind: no timer and no registration that could wake the task later.
 
 An iteration polls the backend, then runs the queues by priority, each within its budget: control (such as
@@ -122,7 +124,21 @@
         """Raise ``Cancelled`` in a task at its current wait and at every later one."""
         if not task.is_done and not task.is_cancelled:
             task.is_cancelled = True
-            self.wake(task, Cancelled())
+            self._end_wait(task)
+
+    def interrupt(self, task: Task, interruption: Cancelled) -> None:
+        """Raise ``interruption`` at a task's current wait and at every later one, until it is withdrawn."""
+        task.interruptions.append(interruption)
+        self._end_wait(task)
+
+    def withdraw_interruption(self, task: Task, interruption: Cancelled) -> None:
+        """Let the waits of a task go on that ``interruption`` would have ended."""
+        task.interruptions.remove(interruption)
+
+    def _end_wait(self, task: Task) -> None:
+        """Resume a task, which finds there what has cancelled or interrupted it."""
+        if not task.is_shielded:
+            self.wake(task)
 
     def park(self, deadline: int | None = None) -> Any:
         """Wait to be woken; return the value passed to ``wake``.
@@ -132,8 +148,8 @@
         task = self.current
         if task is None:
             raise EventLoopError("a wait outside of any task")
-        if task.is_cancelled:
-            raise Cancelled
+        if task.is_cancelled or task.interruptions:
+            self._raise_interruption(task)
         task.operations_without_yield = 0
         timer = None
         if deadline is not None:
@@ -144,11 +160,19 @@
         value = self._hub.switch()
         if timer is not None:
             self.timers.cancel(timer)
+        if task.is_cancelled or task.interruptions:
+            self._raise_interruption(task)
         if isinstance(value, BaseException):
             raise value
+        return value
+
+    def _raise_interruption(self, task: Task) -> None:
+        """Raise what has cancelled or interrupted a task, unless it is shielded and its process lives."""
+        if task.is_shielded and not task.process.is_dead:
+            return
         if task.is_cancelled:
             raise Cancelled
-        return value
+        raise task.interruptions[-1]
 
     def _expire(self, task: Task) -> None:
         self.wake(task, DeadlineExceededError())
@@ -174,11 +198,9 @@
         task.is_parked = True
         self.wake(task)
         task.operations_without_yield = 0
-        value = self._hub.switch()
-        if isinstance(value, BaseException):
-            raise value
-        if task.is_cancelled:
-            raise Cancelled
+        self._hub.switch()
+        if task.is_cancelled or task.interruptions:
+            self._raise_interruption(task)
 
     def yield_sometimes(self) -> None:
         """Let other tasks run after many operations that did not wait; each such operation calls this."""
@@ -252,8 +274,6 @@
             return
         if task.is_done:
             return
-        if task.is_cancelled and task.is_started:
-            value = Cancelled()  # a task that was not started yet is, and raises at its first wait
         task.is_started = True
         self.current, self.process = task, process
         task.greenlet.switch(value)
@@ -303,7 +323,7 @@
             task.is_cancelled = True
             task.is_parked = False
             if task.is_started:
-                self._queues[task.priority].append((task, None))  # resumed once, with Cancelled
+                self._queues[task.priority].append((task, None))  # resumed once, for its cleanup
         process.tasks.clear()
 
 
--- a/orchidlane/runtime/simulated_backend/bound_socket.py
+++ b/orchidlane/runtime/simulated_backend/bound_socket.py
@@ -49,9 +49,12 @@
                     self._waiting_tasks.remove(task)
 
     def _wake_one_waiting(self) -> None:
-        """Wake the task that has waited longest for an arrival."""
-        if self._waiting_tasks:
-            self.network.loop.wake(self._waiting_tasks.pop(0))
+        """Wake the task that has waited longest for an arrival and whose wait has not ended otherwise."""
+        while self._waiting_tasks:
+            task = self._waiting_tasks.pop(0)
+            if task.is_parked:
+                self.network.loop.wake(task)
+                return
 
     def close(self) -> None:
         """Release the current process's hold and wake its waiting tasks."""
--- a/orchidlane/runtime/task_group.py
+++ b/orchidlane/runtime/task_group.py
@@ -6,7 +6,7 @@
 from types import TracebackType
 from typing import Any
 
-from orchidlane.runtime.errors import Cancelled, EventLoopError
+from orchidlane.runtime.errors import Cancelled
 from orchidlane.runtime.scheduler import EventLoop
 from orchidlane.runtime.tasks import Task
 
@@ -14,7 +14,8 @@
 class TaskGroup:
     """The owner of tasks: leaving the block waits for all of them.
 
-    A task that fails cancels the others, and its exception is raised at the end of the block. An exception
+    A task that fails cancels the others, ends the block at its current or next wait, and its exception is
+    raised at the end of the block; so it is where the block's own task was cancelled meanwhile. An exception
     that leaves the block cancels the tasks first. ``cancel`` ends them early.
     """
 
@@ -23,6 +24,7 @@
         self.children: dict[Task, None] = {}  # in the order in which they were spawned
         self.owner: Task | None = None  # the task that runs the block
         self.failure: BaseException | None = None  # of the first child that failed
+        self._interruption: _ChildFailed | None = None  # of the block, until it is left
         self._is_leaving = False
 
     def spawn(
@@ -42,47 +44,59 @@
         if task.error is not None and self.failure is None:
             self.failure = task.error
             self.cancel()
-            if self.owner is not None and not self._is_leaving:
-                self.loop.wake(self.owner, _ChildFailedError())
+            self._interrupt_block()
         if self._is_leaving and not self.children and self.owner is not None:
             self.loop.wake(self.owner)
 
+    def _interrupt_block(self) -> None:
+        """End the block at its current wait, or at the next one if it does not wait now."""
+        if self.owner is not None and not self._is_leaving:
+            self._interruption = _ChildFailed()
+            self.loop.interrupt(self.owner, self._interruption)
+
     def __enter__(self) -> TaskGroup:
         self.owner = self.loop.current
         return self
 
     def __exit__(
-        self, kind: type[BaseException] | None, error: BaseException | None, _trace: TracebackType | None
+        self, _kind: type[BaseException] | None, error: BaseException | None, _trace: TracebackType | None
     ) -> None:
         self._is_leaving = True
+        if self._interruption is not None and self.owner is not None:
+            self.loop.withdraw_interruption(self.owner, self._interruption)
         if error is not None:
             self.cancel()
-        while self.children:
-            try:
-                self.loop.park()
-            except Cancelled as cancelled:
-                self.cancel()
-                if error is None:
-                    error = cancelled
-                if self.owner is not None and self.owner.process.is_dead:
-                    raise
-                self._wait_while_cancelled()
-        if self.failure is not None and (error is None or isinstance(error, _ChildFailedError)):
+        interruption = self._wait_for_children()
+        if self.failure is not None and (error is None or isinstance(error, Cancelled)):
             raise self.failure
-        if isinstance(error, Cancelled) and kind is None:
-            raise error
-
-    def _wait_while_cancelled(self) -> None:
-        """Wait for the children although the owner is cancelled: they are too, and run to their ends."""
-        owner = self.owner
-        assert owner is not None
-        owner.is_cancelled = False
+        if error is None and interruption is not None:
+            raise interruption
+
+    def _wait_for_children(self) -> Cancelled | None:
+        """Wait until no child is left; return what interrupted the wait, which cancels the children."""
+        if not self.children:
+            return None
+        try:
+            while self.children:
+                self.loop.park()
+        except Cancelled as interruption:
+            owner = self.owner
+            if owner is None or owner.process.is_dead:
+                raise
+            self.cancel()
+            self._wait_shielded(owner)
+            return interruption
+        return None
+
+    def _wait_shielded(self, owner: Task) -> None:
+        """Wait for the children, which are cancelled and run to their ends, although the owner is, too."""
+        owner.is_shielded = True
         try:
             while self.children:
                 self.loop.park()
         finally:
-            owner.is_cancelled = True
+            owner.is_shielded = False
 
 
-class _ChildFailedError(EventLoopError):
-    """Wakes the owner within its block when a child has failed; the child's own error is raised."""
+class _ChildFailed(Cancelled):
+    """Ends the block of a group one of whose children has failed; the child's own error is raised then."""
--- a/orchidlane/runtime/tasks.py
+++ b/orchidlane/runtime/tasks.py
@@ -7,6 +7,7 @@
 
 import greenlet
 
+from orchidlane.runtime.errors import Cancelled
 from orchidlane.runtime.timers import Timers
 
 # Priorities of tasks, the most urgent first. Plain numbers: they index the run queues at each wake-up.
@@ -42,9 +43,11 @@
     __slots__ = (
         "error",
         "greenlet",
+        "interruptions",
         "is_cancelled",
         "is_done",
         "is_parked",
+        "is_shielded",
         "is_started",
         "name",
         "operations_without_yield",
@@ -64,6 +67,8 @@
         self.is_started = False
         self.is_parked = False  # waits to be woken
         self.is_cancelled = False
+        self.is_shielded = False  # waits for its children, whatever interrupts it
+        self.interruptions: list[Cancelled] = []  # of its task groups that had a failure, innermost last
         self.is_done = False
         self.error: BaseException | None = None  # that ended it
         self.operations_without_yield = 0
