Fleets of processes end the successors that the upgrade command started

Cause: ProcessFleetBackend.end ends what it started itself; the command starts the successor in a session of its own. SIGHUP ended up with no clean-up at all.

Change: whoever serves a gateway answers at the socket of its hot restart. The fleet asks there at its end and kills who answers until nobody does, with a wait where an upgrade is under way. SIGKILL to up is not covered.

--- a/orchidlane/cli/up.py
+++ b/orchidlane/cli/up.py
@@ -24,6 +24,7 @@
 MICROSECONDS_PER_SECOND = 1_000_000
 ADDRESS_FIELDS = ("listen", "peer", "admin", "resp")
 DATAGRAM_ADDRESS_FIELD = "peer"
+ENDING_SIGNALS = (signal.SIGINT, signal.SIGTERM, signal.SIGHUP)
 MAX_OBSERVATIONS = 100_000  # kept for the closing line
 UNLIMITED_SECONDS = 365 * 24 * 3600
 REQUEST_KINDS = (
@@ -50,14 +51,21 @@
         plan.endpoints = [msgspec.structs.replace(spec, records_path="") for spec in plan.endpoints]
         runner = ScenarioRunner(loop, plan, fleet_backend, deque(maxlen=MAX_OBSERVATIONS))
         screen = _screen(loop, plan)
-        signal.signal(signal.SIGTERM, signal.default_int_handler)
+        for number in ENDING_SIGNALS:
+            signal.signal(number, signal.default_int_handler)
         with contextlib.suppress(KeyboardInterrupt):
             try:
                 loop.run(_run, loop, runner, screen)
             finally:
+                _ignore_signals()  # a second one must not end the clean-up
                 fleet_backend.end()
 
 
+def _ignore_signals() -> None:
+    for number in ENDING_SIGNALS:
+        signal.signal(number, signal.SIG_IGN)
+
+
 def _demo_scenario(settings: str, fleet: FleetSettings, rate: float, nodes: int, seconds: int) -> Scenario:
     """Return a scenario with a steady load and without faults."""
     return Scenario(
--- a/orchidlane/simulation/process_backend.py
+++ b/orchidlane/simulation/process_backend.py
@@ -26,6 +26,11 @@
     make_plan,
 )
 from orchidlane.simulation.scenario_runner import ScenarioRunner, run_in_loop
+from orchidlane.simulation.successors import (
+    TAKE_OVER_TIMEOUT_S,
+    addresses_with_successor,
+    kill_serving_process,
+)
 
 EXIT_TIMEOUT_S = 15.0
 
@@ -101,13 +106,16 @@
         successor = self.successors[rank]
         if successor.poll() is not None:
             return False
-        status = request_status(loop, (f"{self.folder}/gw-{rank}.upgrade", 0))
+        status = request_status(loop, self._hot_restart_address(rank))
         if status is None or status.pid != successor.pid:
             return None
         self.replaced_processes.append(self.processes[f"gw-{rank}"])
         self.processes[f"gw-{rank}"] = successor
         return True
 
+    def _hot_restart_address(self, rank: int) -> Address:
+        return f"{self.folder}/gw-{rank}.upgrade", 0
+
     def end_gateway(self, rank: int, kill: bool) -> None:
         """Kill a gateway, or let it shut down gracefully."""
         self.processes[f"gw-{rank}"].send_signal(signal.SIGKILL if kill else signal.SIGTERM)
@@ -142,7 +150,14 @@
         """Check nothing: the requests of a process can't be seen from here."""
 
     def end(self) -> None:
-        """End everything that runs."""
+        """End everything that runs, also successors that ``orchidlane upgrade`` has started."""
+        addresses = [self._hot_restart_address(rank) for rank in range(self.plan.scenario.gateway_count)]
+        upgrading = addresses_with_successor(addresses)
+        self._end_started_processes()
+        for address in addresses:
+            kill_serving_process(address, TAKE_OVER_TIMEOUT_S if address in upgrading else 0.0)
+
+    def _end_started_processes(self) -> None:
         started = [*self.processes.values(), *self.successors.values(), *self.replaced_processes]
         for process in started:
             if process.poll() is None:
--- /dev/null
+++ b/orchidlane/simulation/successors.py
@@ -0,0 +1,65 @@
+"""Ends gateways that a fleet did not start itself: the successors that ``orchidlane upgrade`` starts.
+
+Such a process is nobody's child. It is found where its predecessor was: it answers on the Unix socket of the
+gateway's hot restart.
+"""
+
+from __future__ import annotations
+
+import os
+import signal
+import time
+from collections.abc import Iterable
+
+from orchidlane.gateway.lifecycle.status_query import request_status
+from orchidlane.hot_restart.messages import Status
+from orchidlane.hot_restart.old_process import Phase
+from orchidlane.runtime import EventLoop, RealBackend
+from orchidlane.runtime.backend import Address
+
+STATUS_TIMEOUT_US = 300_000
+TAKE_OVER_TIMEOUT_S = 3.0  # in which a successor whose predecessor was killed listens in its place
+POLL_INTERVAL_S = 0.02
+EXIT_TIMEOUT_S = 15.0
+
+
+def addresses_with_successor(addresses: Iterable[Address]) -> list[Address]:
+    """Return the hot restart addresses at which an upgrade is in progress."""
+    statuses = {address: _status(address) for address in addresses}
+    return [
+        address
+        for address, status in statuses.items()
+        if status is not None and status.phase != Phase.SERVING.value
+    ]
+
+
+def kill_serving_process(address: Address, take_over_timeout_s: float = 0.0) -> None:
+    """Kill whatever process answers at a hot restart address, until none does for the time given.
+
+    Raises TimeoutError where one goes on to answer, PermissionError where it is another user's.
+    """
+    give_up_at = time.monotonic() + EXIT_TIMEOUT_S
+    silent_until = time.monotonic() + take_over_timeout_s
+    while True:
+        status = _status(address)
+        if status is not None:
+            _kill(status.pid)
+        elif time.monotonic() >= silent_until:
+            return
+        if time.monotonic() >= give_up_at:
+            raise TimeoutError(f"{address}: a process still answers after SIGKILL")
+        time.sleep(POLL_INTERVAL_S)
+
+
+def _kill(pid: int) -> None:
+    try:
+        os.kill(pid, signal.SIGKILL)
+    except ProcessLookupError:
+        return  # it has ended since it answered
+
+
+def _status(address: Address) -> Status | None:
+    loop = EventLoop(RealBackend())
+    statuses: list[Status | None] = []
+    loop.run(lambda: statuses.append(request_status(loop, address, STATUS_TIMEOUT_US)))
+    return statuses[0]
--- /dev/null
+++ b/tests/test_foreign_successors.py
@@ -0,0 +1,114 @@
+"""Successors that `orchidlane upgrade` starts end with the fleet whose gateways they replaced."""
+
+from __future__ import annotations
+
+import os
+import shutil
+import signal
+import socket
+import subprocess
+import sys
+import time
+from pathlib import Path
+
+import pytest
+from harness.scenarios import make_scenario
+
+from orchidlane.simulation.process_backend import ProcessFleetBackend, loopback_host
+from orchidlane.simulation.scenario_plan import make_plan
+from orchidlane.simulation.successors import addresses_with_successor
+
+PROGRAM = (sys.executable, "-m", "orchidlane")
+MATERIALS = Path(__file__).parent.parent / "examples" / "materials"
+TIMEOUT_S = 60.0
+
+
+def processes_that_name(folder: Path) -> list[int]:
+    """Return the processes that have the folder in their arguments."""
+    found = []
+    for path in Path("/proc").glob("[0-9]*/cmdline"):
+        try:
+            arguments = path.read_bytes()
+        except OSError:
+            continue  # it has ended
+        if os.fsencode(folder) in arguments:
+            found.append(int(path.parent.name))
+    return found
+
+
+def await_listener(address: tuple[str, int]) -> None:
+    """Wait until something listens at an address."""
+    deadline = time.monotonic() + TIMEOUT_S
+    while True:
+        try:
+            socket.create_connection(address).close()
+        except OSError:
+            assert time.monotonic() < deadline, f"nobody listens at {address}"
+            time.sleep(0.05)
+        else:
+            return
+
+
+def upgrade_command(settings: Path) -> list[str]:
+    """Return the command that upgrades gateway 0 to a successor in a session of its own."""
+    return [*PROGRAM, "upgrade", str(settings), "--rank", "0"]
+
+
+def upgrade(settings: Path) -> None:
+    """Run the upgrade to its end."""
+    done = subprocess.run(upgrade_command(settings), capture_output=True, text=True, timeout=TIMEOUT_S)
+    assert done.returncode == 0, done.stdout + done.stderr
+
+
+@pytest.fixture
+def one_gateway(tmp_path) -> ProcessFleetBackend:
+    """Return a fleet of one gateway that serves."""
+    fleet_backend = ProcessFleetBackend(str(tmp_path))
+    plan = make_plan(make_scenario(gateway_count=1), str(tmp_path), fleet_backend.free_addresses)
+    plan.settings_text = plan.settings_text.replace('trial: "5s"', 'trial: "1s"')
+    fleet_backend.prepare(plan)
+    fleet_backend.start_gateway(0)
+    await_listener(plan.gateways[0])
+    return fleet_backend
+
+
+# Guards against a successor that holds the port and answers 503 after its fleet has ended.
+@pytest.mark.parametrize("upgrades", [1, 2])
+def test_a_successor_that_a_command_started_ends_with_its_fleet(tmp_path, one_gateway, upgrades):
+    for _ in range(upgrades):
+        upgrade(tmp_path / "gw-0.cue")
+    assert processes_that_name(tmp_path)
+    one_gateway.end()
+    assert processes_that_name(tmp_path) == []
+
+
+# Guards against one on probation, which takes over once its predecessor is killed.
+def test_a_successor_on_probation_ends_with_its_fleet(tmp_path, one_gateway):
+    command = upgrade_command(tmp_path / "gw-0.cue")
+    with subprocess.Popen(command, stdout=subprocess.DEVNULL, stderr=subprocess.DEVNULL) as upgrading:
+        deadline = time.monotonic() + TIMEOUT_S
+        while not addresses_with_successor([(f"{tmp_path}/gw-0.upgrade", 0)]):
+            assert time.monotonic() < deadline
+        one_gateway.end()
+        upgrading.wait(TIMEOUT_S)
+    assert processes_that_name(tmp_path) == []
+
+
+# Guards against the first report: `orchidlane up` was ended by a signal and the new gw-0 lived on.
+@pytest.mark.parametrize("numbers", [["SIGTERM"], ["SIGINT"], ["SIGHUP"], ["SIGTERM", "SIGTERM"]], ids=str)
+def test_a_successor_ends_with_orchidlane_up_whichever_signal_ends_that(tmp_path, numbers):
+    materials = tmp_path / "materials"
+    shutil.copytree(MATERIALS, materials)
+    fleet_file = materials / "fleet.cue"
+    fleet_file.write_text(fleet_file.read_text().replace("127.0.0.1", loopback_host()))
+    command = [*PROGRAM, "up", str(fleet_file)]
+    environment = os.environ | {"TMPDIR": str(tmp_path)}
+    with subprocess.Popen(command, stdout=subprocess.DEVNULL, env=environment) as up:
+        await_listener((loopback_host(), 8080))
+        folder = next(tmp_path.glob("orchidlane-*"))
+        upgrade(folder / "gw-0.cue")
+        for number in numbers:
+            up.send_signal(signal.Signals[number])
+        up.wait(TIMEOUT_S)
+    assert processes_that_name(folder) == []
+    assert not folder.exists()
