Fleet versions: a new leader says which gateways it has not heard of

What was seen: "1 of 9 run it" followed by "0 of 9" from change propose; test_a_harmless_version_passes_all_stages failed for it on a busy machine.

Cause: the count is of the gateways that reported to whoever leads now. A new leader has no reports yet, one that led before has those of its earlier term. Whether each earlier red run was a change of leader was not traced.

Change: a count without all reports reads "at least N of 9 run it, K not heard of by whoever leads now", and a claim drops the reports as it drops the votes.

--- a/orchidlane/cli/rollout_text.py
+++ b/orchidlane/cli/rollout_text.py
@@ -23,12 +23,8 @@
     """Return how far a proposal has come."""
     version = status.rollout_version
     if version is not None and version.proposal_id == request.command_id:
-        done = sum(gateway.running_number == version.number for gateway in status.gateways)
-        line = (
-            f"version {version.label()}: {status.phase}, {done} of {len(status.gateways)} run it"
-            f"{_paused(status)}"
-        )
-        return Progress(line, None)
+        line = f"version {version.label()}: {status.phase}, {_running_count(version, status)}"
+        return Progress(f"{line}{_paused(status)}", None)
     for entry in reversed(status.history):
         is_done = entry.outcome == DONE
         goes_on = is_done and entry.version.followed_by
@@ -38,6 +34,16 @@
     return Progress("", None)
 
 
+def _running_count(version: Version, status: RolloutStatus) -> str:
+    """Return how many gateways run a version; a leader that has not heard of all of them knows no more."""
+    done = sum(gateway.running_number == version.number for gateway in status.gateways)
+    count = len(status.gateways)
+    unknown = sum(gateway.last_seen_us_ago < 0 for gateway in status.gateways)
+    if unknown:
+        return f"at least {done} of {count} run it, {unknown} not heard of by whoever leads now"
+    return f"{done} of {count} run it"
+
+
 def status_lines(status: RolloutStatus, names: list[str], is_fresh: bool) -> Iterator[str]:
     """Yield the lines of a status; ``names`` are the gateways'."""
     yield f"leader     {names[status.leader] if status.leader >= 0 else 'none'}, term {status.term}"
--- a/orchidlane/rollout/leader.py
+++ b/orchidlane/rollout/leader.py
@@ -243,6 +243,7 @@
         self._claimed_term = state.term + 1
         self.confirmed_at = None
         self.driver.votes.clear()
+        self.driver.reports.clear()  # of an earlier term of ours: each gateway reports anew to a new leader
         return ClaimLeadership(self.voter.rank, self._claimed_term)
 
     def _membership_command(self, now: int, state: ReplicatedState) -> Command | None:
--- /dev/null
+++ b/tests/test_new_leader.py
@@ -0,0 +1,57 @@
+"""A new leader: what it says of a rollout before the gateways have reported to it."""
+
+from __future__ import annotations
+
+import random
+
+import msgspec
+import pytest
+from harness.golden_rollouts import golden_status
+from test_rollout_commands import SECRET, first_state
+
+from orchidlane.cli.rollout_text import proposal_progress
+from orchidlane.gateway.rollout_agent.admin_messages import CommandRequest, GatewayStatus
+from orchidlane.rollout.commands import ClaimLeadership
+from orchidlane.rollout.consensus import Voter
+from orchidlane.rollout.leader import Leadership, LeadershipSettings
+from orchidlane.rollout.messages import AdoptionReport
+from orchidlane.rollout.phases import StagingSettings
+from orchidlane.rollout.rollout_driver import RolloutSettings
+from orchidlane.rollout.voter_state import VoterStart, VoterState
+
+SECOND = 1_000_000
+
+
+# Guards against "1 of 9 run it" followed by "0 of 9": the leader had died and the next one had no reports.
+@pytest.mark.parametrize(
+    ("heard", "words"),
+    [
+        (0, "at least 0 of 3 run it, 3 not heard of"),
+        (2, "at least 2 of 3 run it, 1 not heard of"),
+        (3, "3 of 3 run it"),
+    ],
+)
+def test_a_leader_that_has_not_heard_of_all_gateways_says_so(heard, words):
+    status = golden_status()
+    version = status.rollout_version
+    gateways = tuple(
+        GatewayStatus(rank, version.number, version.number, last_seen_us_ago=1, running_for_us=1)
+        if rank < heard
+        else GatewayStatus(rank)
+        for rank in range(3)
+    )
+    request = CommandRequest(version.proposal_id, "propose", 0)
+    progress = proposal_progress(request, msgspec.structs.replace(status, gateways=gateways))
+    assert words in progress.line
+    assert ("not heard of" in progress.line) == (heard < 3)
+
+
+# Guards against reports of an earlier term: they tell what gateways ran before another one led.
+def test_a_voter_that_claims_to_lead_again_forgets_the_reports_of_its_earlier_term():
+    rollout = RolloutSettings(8 * SECOND, 20 * SECOND, StagingSettings(0, 2, None, (), ()))
+    settings = LeadershipSettings(SECOND // 10, SECOND, rollout)
+    start = VoterStart(0, VoterState(100), None, first_state(), random.Random(1), 0)
+    leadership = Leadership(Voter(start), 3, SECRET, settings, random.Random(1), 0)
+    leadership.driver.receive_report(0, 2, AdoptionReport(4, 4, 10, ""))
+    assert isinstance(leadership.next_command(10 * SECOND), ClaimLeadership)
+    assert leadership.driver.reports == {}
