Fleet versions: a lease that an election may outlast is refused with both figures

What was seen: change.lease 2 s with elections of 1.5 to 3 s: the leader's death made all nine gateways answer 503 to every request for 2.4 s.

Cause: confirmations end with the leader's last heartbeat; settings whose lease ends before the next leader confirms were accepted. The worst case follows from rollout/leader.py: beat, twice silence, three times silence after a lost claim, and every for the news; 7.75 s with the times of the process tests.

Change: check_rollout_settings refuses a lease that is not longer. The process tests had such leases (2 s, 1.5 s) and have 8 s now, the benchmark 6 s; their checks are as they were.

--- a/benchmarks/real_rollout.py
+++ b/benchmarks/real_rollout.py
@@ -26,7 +26,7 @@
 COST_REQUESTS = 400
 COST_GATEWAYS = 3
 COST_VOTERS = ["gw-0", "gw-1", "gw-2"]
-ROLLOUT_SETTINGS = {"lease": "2s", "every": "100ms", "soak": "0s"}
+ROLLOUT_SETTINGS = {"lease": "6s", "every": "100ms", "soak": "0s"}
 
 
 def run_real_fleet(
--- a/orchidlane/gateway/rollout_agent/settings.py
+++ b/orchidlane/gateway/rollout_agent/settings.py
@@ -3,11 +3,13 @@
 from __future__ import annotations
 
 from orchidlane.gateway.control.settings import FleetSettings
+from orchidlane.gateway.control.settings import RolloutSettings as RolloutEntry
 from orchidlane.hot_restart.rolling_batches import RiskLimits
-from orchidlane.rollout.leader import LeadershipSettings
+from orchidlane.rollout.leader import LeadershipSettings, longest_election_us
 from orchidlane.rollout.phases import StagingSettings
 from orchidlane.rollout.rollout_driver import RolloutSettings
 
+MICROSECONDS_PER_SECOND = 1_000_000
 VOTER_COUNTS = (3, 5, 7)
 
 
@@ -27,6 +29,19 @@
         raise ValueError(f"change.voters: gateways without an admin address: {', '.join(without_admin)}")
     if not fleet.state_directory:
         raise ValueError("state: a folder is wanted, where votes and versions are kept")
+    _check_lease(fleet.rollout)
+
+
+def _check_lease(rollout: RolloutEntry) -> None:
+    """Raise ValueError where every gateway would stop serving before a dead leader is replaced."""
+    election_us = longest_election_us(rollout.heartbeat_interval_us, rollout.election_timeout_us)
+    needed_us = election_us + rollout.poll_interval_us
+    if rollout.lease_us <= needed_us:
+        raise ValueError(
+            f"change.lease: found {rollout.lease_us / MICROSECONDS_PER_SECOND:g} s, wanted more than"
+            f" {needed_us / MICROSECONDS_PER_SECOND:g} s: for so long an election and its news may take"
+            " by change.beat, change.silence and change.every"
+        )
 
 
 def voter_ranks(fleet: FleetSettings) -> list[int]:
--- a/orchidlane/rollout/leader.py
+++ b/orchidlane/rollout/leader.py
@@ -42,6 +42,22 @@
     rollout: RolloutSettings
 
 
+def longest_election_us(heartbeat_interval_us: int, election_timeout_us: int) -> int:
+    """Return how long a dead leader's last confirmation may lie back when the next leader has its first.
+
+    It is a heartbeat old when the leader dies. Then a voter claims after at most twice the timeout, and where
+    its claim is lost to another one, again after a delay that may be half as long again.
+    """
+    first_claim_us = _longest_claim_delay_us(election_timeout_us, 0)
+    second_claim_us = _longest_claim_delay_us(election_timeout_us, 1)
+    return heartbeat_interval_us + first_claim_us + second_claim_us
+
+
+def _longest_claim_delay_us(election_timeout_us: int, claims: int) -> int:
+    """Return the longest delay before a claim, after so many claims in a row."""
+    return election_timeout_us * (1 + (1 << min(claims, MAX_CLAIM_BACKOFF_DOUBLINGS)))
+
+
 class ReceivedRequest(NamedTuple):
     """A voter's request to be admitted, and when it came."""
 
--- a/tests/harness/process_fleets.py
+++ b/tests/harness/process_fleets.py
@@ -19,7 +19,7 @@
     """
     terms = {
         "voters": [f"gw-{rank}" for rank in range(voters)],
-        "lease": "2s",
+        "lease": "8s",  # an election may take 7.75 s
         "every": "100ms",
         "soak": "0s",
         "silence": "1500ms",  # a leader that a busy machine holds up is not replaced
--- a/tests/processes/test_rollout_processes.py
+++ b/tests/processes/test_rollout_processes.py
@@ -17,7 +17,7 @@
 from orchidlane.gateway.control.settings_loader import parse_host_port
 from orchidlane.rollout import messages
 
-LEASE = 2 * SECOND
+LEASE = 8 * SECOND
 
 
 def test_an_edit_is_approved_adopted_and_rolled_back_on_every_gateway(tmp_path):
@@ -86,7 +86,7 @@
         observed["all"] = fleet.now()
 
     observed: dict = {}
-    verdict, fleet = run_fleet(tmp_path, script, lease="1500ms")
+    verdict, fleet = run_fleet(tmp_path, script)
     assert_rules_hold(verdict)
     code, output = observed["end"]
     assert code in (0, 1), output
