Hot restart status outside a loop: one function for the command and for ended fleets

Read again: simulation/successors.py had written cli/upgrade.py's query in a loop of its own a second time; request_status_in_own_loop beside request_status serves both. Three test modules take MATERIALS, MS and SECOND from the harness in place of copies. Behaviour is the same; no assertion changed.

--- a/orchidlane/cli/upgrade.py
+++ b/orchidlane/cli/upgrade.py
@@ -14,9 +14,8 @@
 
 from orchidlane.cli.errors import report_input_errors
 from orchidlane.gateway.control.settings_loader import hot_restart_address, load_settings
-from orchidlane.gateway.lifecycle.status_query import request_status
+from orchidlane.gateway.lifecycle.status_query import request_status_in_own_loop
 from orchidlane.hot_restart.messages import Status
-from orchidlane.runtime import EventLoop, RealBackend
 
 STATUS_INTERVAL_SECONDS = 0.1
 STATUS_TIMEOUT_US = 5_000_000
@@ -39,10 +38,7 @@
 
 
 def _request_status(path: str) -> Status | None:
-    loop = EventLoop(RealBackend())
-    statuses: list[Status | None] = []
-    loop.run(lambda: statuses.append(request_status(loop, (path, 0), STATUS_TIMEOUT_US)))
-    return statuses[0]
+    return request_status_in_own_loop((path, 0), STATUS_TIMEOUT_US)
 
 
 @click.command()
--- a/orchidlane/gateway/lifecycle/status_query.py
+++ b/orchidlane/gateway/lifecycle/status_query.py
@@ -8,6 +8,7 @@
     ConnectionFailedError,
     DeadlineExceededError,
     EventLoop,
+    RealBackend,
     Stream,
 )
 from orchidlane.runtime.backend import Address
@@ -33,6 +34,16 @@
         stream.close()
 
 
+def request_status_in_own_loop(
+    address: Address, timeout_us: int = STATUS_TIMEOUT_US
+) -> messages.Status | None:
+    """Return the status as ``request_status`` does, for a caller that has no event loop."""
+    loop = EventLoop(RealBackend())
+    statuses: list[messages.Status | None] = []
+    loop.run(lambda: statuses.append(request_status(loop, address, timeout_us)))
+    return statuses[0]
+
+
 def _receive_status(stream: Stream, deadline: int) -> messages.Status | None:
     parser = messages.Parser()
     while (message := parser.next_message()) is None:
--- a/orchidlane/simulation/successors.py
+++ b/orchidlane/simulation/successors.py
@@ -11,10 +11,8 @@
 import time
 from collections.abc import Iterable
 
-from orchidlane.gateway.lifecycle.status_query import request_status
-from orchidlane.hot_restart.messages import Status
+from orchidlane.gateway.lifecycle.status_query import request_status_in_own_loop
 from orchidlane.hot_restart.old_process import Phase
-from orchidlane.runtime import EventLoop, RealBackend
 from orchidlane.runtime.backend import Address
 
 STATUS_TIMEOUT_US = 300_000
@@ -25,7 +23,7 @@
 
 def addresses_with_successor(addresses: Iterable[Address]) -> list[Address]:
     """Return the hot restart addresses at which an upgrade is in progress."""
-    statuses = {address: _status(address) for address in addresses}
+    statuses = {address: request_status_in_own_loop(address, STATUS_TIMEOUT_US) for address in addresses}
     return [
         address
         for address, status in statuses.items()
@@ -41,7 +39,7 @@
     give_up_at = time.monotonic() + EXIT_TIMEOUT_S
     silent_until = time.monotonic() + take_over_timeout_s
     while True:
-        status = _status(address)
+        status = request_status_in_own_loop(address, STATUS_TIMEOUT_US)
         if status is not None:
             _kill(status.pid)
         elif time.monotonic() >= silent_until:
@@ -56,10 +54,3 @@
         os.kill(pid, signal.SIGKILL)
     except ProcessLookupError:
         return  # it has ended since it answered
-
-
-def _status(address: Address) -> Status | None:
-    loop = EventLoop(RealBackend())
-    statuses: list[Status | None] = []
-    loop.run(lambda: statuses.append(request_status(loop, address, STATUS_TIMEOUT_US)))
-    return statuses[0]
--- a/tests/test_foreign_successors.py
+++ b/tests/test_foreign_successors.py
@@ -14,6 +14,7 @@
 from pathlib import Path
 
 import pytest
+from harness.constants import MATERIALS
 from harness.scenarios import make_scenario
 
 from orchidlane.simulation.process_backend import ProcessFleetBackend, loopback_host
@@ -21,7 +22,6 @@
 from orchidlane.simulation.successors import addresses_with_successor
 
 PROGRAM = (sys.executable, "-m", "orchidlane")
-MATERIALS = Path(__file__).parent.parent / "examples" / "materials"
 TIMEOUT_S = 60.0
 EXIT_TIMEOUT_S = 5.0
 
--- a/tests/test_new_leader.py
+++ b/tests/test_new_leader.py
@@ -6,6 +6,7 @@
 
 import msgspec
 import pytest
+from harness.constants import SECOND
 from harness.golden_rollouts import golden_status
 from test_rollout_commands import SECRET, first_state
 
@@ -19,8 +20,6 @@
 from orchidlane.rollout.rollout_driver import RolloutSettings
 from orchidlane.rollout.voter_state import VoterStart, VoterState
 
-SECOND = 1_000_000
-
 
 # Guards against "1 of 9 run it" followed by "0 of 9": the leader had died and the next one had no reports.
 @pytest.mark.parametrize(
--- a/tests/test_rollout_settings.py
+++ b/tests/test_rollout_settings.py
@@ -2,18 +2,16 @@
 
 from __future__ import annotations
 
-from pathlib import Path
-
 import msgspec
 import pytest
+from harness.constants import MATERIALS, MS
 
 from orchidlane.config import Duration
 from orchidlane.gateway.control.settings import FleetSettings
 from orchidlane.gateway.control.settings_loader import parse_settings
 from orchidlane.gateway.rollout_agent.settings import check_rollout_settings
 
-FLEET = Path(__file__).parent.parent / "examples" / "materials" / "fleet.cue"
-MS = 1_000
+FLEET = MATERIALS / "fleet.cue"
 
 
 def fleet_with(lease_ms: int, silence_ms: int, beat_ms: int = 150, every_ms: int = 100) -> FleetSettings:
