--- a/review/1/case.py
+++ b/review/1/case.py
@@ -1,10 +1,10 @@
-"""Bad clients send hundreds of requests at once; the usual clients still have to get their answers."""
+"""Bad clients come beside the usual ones, which still have to get their answers."""
 
 from __future__ import annotations
 
 import asyncio
 
-from support.bad_clients import BadClient
+from support.bad_clients import BatchClient, SilentClient
 from support.case import SOCKET_SLACK_S, Case, run
 from support.clients import Clients
 from support.discovery import DiscoveryAgent
@@ -18,8 +18,9 @@
 REQUESTS_PER_S = 2.0  # of each front
 QUIET_S = 4.0
 DURATION_S = 20.0
-BAD_CLIENTS = 150
-REQUESTS_AT_ONCE = 300  # of each bad client
+BATCH_CLIENTS = 40
+REQUESTS_AT_ONCE = 300  # of each batch client
+SILENT_CLIENTS = 500
 LATEST_ANSWER_S = 0.5  # after the request's time; later, or never, it is lost
 
 
@@ -38,13 +39,17 @@
     fronts = [
         Clients(case.record, gateway.listen, "basico", "sheet-read", seed) for seed in range(1, FRONTS + 1)
     ]
-    bad_clients = [
-        BadClient(case.record, gateway.listen, number, REQUESTS_AT_ONCE) for number in range(BAD_CLIENTS)
+    batch_clients = [
+        BatchClient(case.record, gateway.listen, number, REQUESTS_AT_ONCE) for number in range(BATCH_CLIENTS)
     ]
+    silent_clients = [SilentClient(gateway.listen) for _ in range(SILENT_CLIENTS)]
     case.longest_lag_s = 0.0
     usual = asyncio.gather(*(front.run(REQUESTS_PER_S, DURATION_S) for front in fronts))
     await asyncio.sleep(QUIET_S)
-    bad = [asyncio.ensure_future(client.run()) for client in bad_clients] if case.trouble else []
+    bad = []
+    if case.trouble:
+        case.record.write(f"{BATCH_CLIENTS} batch clients and {SILENT_CLIENTS} silent ones connect")
+        bad = [asyncio.ensure_future(client.run()) for client in [*batch_clients, *silent_clients]]
     await usual
     for task in bad:
         task.cancel()
@@ -60,8 +65,9 @@
         f"{len(exchanges)} requests on accepted connections, "
         f"{sum(exchange.status == 200 for exchange in exchanges)} served, "
         f"{sum(exchange.was_closed for exchange in exchanges)} closed twice without an answer, "
-        f"{sum(front.refused_connections for front in fronts)} not connected; bad clients closed "
-        f"{sum(client.closed for client in bad_clients)} times"
+        f"{sum(front.refused_connections for front in fronts)} not connected; "
+        f"closed by the gateway: {sum(client.was_closed for client in silent_clients)} silent clients, "
+        f"{sum(client.closed for client in batch_clients)} batch clients"
     )
     return case.conclude(violations, checked, max_lag_s=LATEST_ANSWER_S)
 
--- a/review/support/bad_clients.py
+++ b/review/support/bad_clients.py
@@ -1,4 +1,4 @@
-"""Bad clients that send hundreds of requests at once, for a class that does not exist."""
+"""Bad clients: some send hundreds of requests at once, others connect and say nothing."""
 
 from __future__ import annotations
 
@@ -16,7 +16,7 @@
 )
 
 
-class BadClient:
+class BatchClient:
     """Sends all its requests at once and reads what it is sent; it connects again once it is closed."""
 
     def __init__(self, record: Record, address: str, number: int, requests: int) -> None:
@@ -38,7 +38,7 @@
     async def _send_all(self) -> None:
         reader, writer = await asyncio.open_connection(self.host, self.port)
         connected_at = self.record.now()
-        self.record.write(f"bad client {self.number} sends {len(self.data)} bytes at once")
+        self.record.write(f"batch client {self.number} sends {len(self.data)} bytes at once")
         writer.write(self.data)
         try:
             first = await reader.read(65_536)
@@ -46,6 +46,25 @@
             while first and await reader.read(65_536):
                 pass
             self.closed += 1
-            self.record.write(f"bad client {self.number} was closed")
+            self.record.write(f"batch client {self.number} was closed")
         finally:
             writer.close()
+
+
+class SilentClient:
+    """Connects once, says nothing, and closes once it is closed."""
+
+    def __init__(self, address: str) -> None:
+        self.host, _, port = address.partition(":")
+        self.port = int(port)
+        self.was_closed = False
+
+    async def run(self) -> None:
+        """Stay until closed or cancelled."""
+        with suppress(OSError):
+            reader, writer = await asyncio.open_connection(self.host, self.port)
+            try:
+                await reader.read()
+                self.was_closed = True
+            finally:
+                writer.close()
