--- a/review/2/case.py
+++ b/review/2/case.py
@@ -13,7 +13,7 @@
 WORK_S = 0.03
 ONE_WAY_S = 0.0025  # between two halls
 SECOND_ANSWER_SHARE = 0.2
-SECOND_ANSWER_AFTER_S = (0.001, 0.015)
+SECOND_ANSWER_AFTER_S = (0.001, 0.012)
 REQUESTS_PER_S = 140.0
 DURATION_S = 60.0
 
@@ -35,6 +35,7 @@
     gateway.start()
     await gateway.ready()
     clients = Clients(case.record, gateway.listen, "basico", "sheet-read", seed=1)
+    clients.is_random = True
     await clients.run(REQUESTS_PER_S, DURATION_S)
     served = [exchange for exchange in clients.exchanges if exchange.status == 200]
     violations = [
--- a/review/support/clients.py
+++ b/review/support/clients.py
@@ -36,7 +36,7 @@
 
 
 class Clients:
-    """One front that sends the requests of many customers to one gateway, at a steady rate."""
+    """One front that sends the requests of many customers to one gateway, at a steady mean rate."""
 
     def __init__(self, record: Record, address: str, plan: str, request_class: str, seed: int) -> None:
         self.record = record
@@ -45,6 +45,7 @@
         self.plan = plan
         self.request_class = request_class
         self.timeout_s = 1.5
+        self.is_random = False  # requests come at random (Poisson) rather than at equal intervals
         self.random = random.Random(seed)
         self.exchanges: list[Exchange] = []
         self.refused_connections = 0
@@ -55,8 +56,10 @@
         loop = asyncio.get_running_loop()
         begin = loop.time()
         pending = []
+        at_s = 0.0
         for number in range(int(requests_per_s * seconds)):
-            await asyncio.sleep(begin + number / requests_per_s - loop.time())
+            at_s += self.random.expovariate(requests_per_s) if self.is_random else 0.0
+            await asyncio.sleep(begin + (at_s or number / requests_per_s) - loop.time())
             pending.append(asyncio.ensure_future(self._request()))
         await asyncio.gather(*pending)
 
