--- a/tests/test_endpoint_races.py
+++ b/tests/test_endpoint_races.py
@@ -74,8 +74,8 @@
         assert harness.ask(call())[0] == 200
         harness.loop.sleep(2 * harness.gateway.pool.timeouts.endpoint_reuse_delay_us)
         (idle_connection,) = harness.gateway.pool._idle[b"s-0"]
-        idle_connection.idle_since -= harness.gateway.pool.timeouts.endpoint_idle_us - 150 * MS
-        idle_since = idle_connection.idle_since
+        idle_since = harness.loop.now() - (harness.gateway.pool.timeouts.endpoint_idle_us - 150 * MS)
+        idle_connection.idle_since = idle_since
         client = harness.connect()
         client.send(call())
         client.half_close()  # seen by the attempt after it has acquired its connection
