Bad clients no longer keep all connections: each table is searched, idle clients stay

Cause: at the limit of connections only the first connection of each table was looked at. One that had sent invalid requests kept its place there, had unread input while each error was delayed, and so protected all others; while silent clients were too young, idle connections of usual clients were closed in their place, and these then waited in the listener's queue.

Change: server/waiting_connections.py keeps new, rejected and idle connections in order of age and chooses.

--- a/orchidlane/gateway/control/settings.py
+++ b/orchidlane/gateway/control/settings.py
@@ -124,6 +124,11 @@
         """0: any idle client connection may be closed to make room for a new one."""
         return 0
 
+    @property
+    def min_silent_client_us(self) -> int:
+        """0: the same holds before the first request."""
+        return 0
+
 
 class QuotaSettings(msgspec.Struct, frozen=True):
     """``#Limits``: the quota server, which speaks RESP."""
--- a/orchidlane/gateway/forwarding/protocol_adapter.py
+++ b/orchidlane/gateway/forwarding/protocol_adapter.py
@@ -94,6 +94,10 @@
     def min_client_idle_us(self) -> int:
         """A client's connection that was idle for less is not closed to make room for a new one."""
 
+    @property
+    def min_silent_client_us(self) -> int:
+        """The same for one on which nothing has arrived; a client sends as soon as it is connected."""
+
     @property
     def client_write_us(self) -> int:
         """For one write of a response."""
--- a/orchidlane/gateway/server/http_server.py
+++ b/orchidlane/gateway/server/http_server.py
@@ -15,6 +15,7 @@
 from orchidlane.gateway.server.client_connection import ClientConnection
 from orchidlane.gateway.server.connection_server import ConnectionServer
 from orchidlane.gateway.server.request_handler import RequestDriver, RequestHandler
+from orchidlane.gateway.server.waiting_connections import WaitingConnections
 from orchidlane.runtime import (
     ConnectionClosedError,
     ConnectionFailedError,
@@ -24,6 +25,8 @@
     TaskGroup,
 )
 
+CAPACITY_RETRY_DELAY_US = 5_000  # while no connection can be closed for a new one
+
 
 class HttpServer(ConnectionServer[ClientConnection]):
     """Accepts clients and serves their requests.
@@ -56,9 +59,7 @@
             max_header_lines=self.resource_limits.max_request_headers,
             max_body_bytes=self.resource_limits.max_request_body_bytes,
         )
-        # Connections without a request so far, oldest first; those between two requests, longest idle first.
-        self.new_connections: dict[ClientConnection, None] = {}
-        self.idle_connections: dict[ClientConnection, None] = {}
+        self.waiting_connections = WaitingConnections(self.timeouts)
         self.on_failure: Callable[[str, Exception], None] | None = None
         self.shutdown_deadline: int | None = None
         self._handler = RequestHandler(self)
@@ -68,8 +69,7 @@
 
     def _remove(self, connection: ClientConnection) -> None:
         super()._remove(connection)
-        self.new_connections.pop(connection, None)
-        self.idle_connections.pop(connection, None)
+        self.waiting_connections.remove(connection)
 
     def adopt(
         self, stream: Stream, unread: bytes, unread_since_us: int, last_received_at_us: int, number: int
@@ -85,7 +85,7 @@
         """Accept clients; close an idle connection if the process is out of file descriptors."""
         while True:
             try:
-                return accept_clients(self.loop, self.listener, self._accept_client, self._close_idle)
+                return accept_clients(self.loop, self.listener, self._accept_client, self._close_waiting)
             except OSError as error:  # the client reset its connection before it was accepted
                 if self.on_failure is None:
                     raise
@@ -110,26 +110,16 @@
     def _wait_for_capacity(self) -> None:
         """Wait until the number of connections is below its limit; close idle connections to get there."""
         while len(self.connections) >= self.resource_limits.max_connections:
-            if not self._close_idle():
-                self.loop.sleep(ACCEPT_RETRY_DELAY_US)
-
-    def _close_idle(self) -> bool:
-        """Close a connection without a request in flight; return False if there is none.
+            if not self._close_waiting():
+                self.loop.sleep(CAPACITY_RETRY_DELAY_US)
 
-        Connections that never sent a request are closed first, then the one that was idle longest.
-        """
-        idle_before = self.loop.now() - self.timeouts.min_client_idle_us
-        for candidates in (self.new_connections, self.idle_connections):
-            connection = next(iter(candidates), None)
-            # A request that has already arrived is served.
-            if (
-                connection is not None
-                and connection.idle_since_us <= idle_before
-                and not connection.stream.has_input()
-            ):
-                self._close(connection)
-                return True
-        return False
+    def _close_waiting(self) -> bool:
+        """Close a connection without a request in flight; return False if none can be closed now."""
+        connection = self.waiting_connections.next_to_close(self.loop.now())
+        if connection is None:
+            return False
+        self._close(connection)
+        return True
 
     def drain(self) -> None:
         """Accept no more connections; serve the requests that are in flight or have already arrived.
@@ -144,7 +134,7 @@
                     break
                 self._accept_client(stream)
         self.listener.close()
-        for connection in [*self.new_connections, *self.idle_connections]:
+        for connection in self.waiting_connections.awaiting_requests():
             if self._is_idle(connection):
                 self._close(connection)
 
--- a/orchidlane/gateway/server/request_handler.py
+++ b/orchidlane/gateway/server/request_handler.py
@@ -88,7 +88,7 @@
             if server.clients.needs_complete_request:
                 self._reader.read_complete(connection, request)
             connection.has_sent_request = True
-            server.new_connections.pop(connection, None)
+            server.waiting_connections.remove(connection)
             server.policy_driver.request_arrived(request, max(1, request.deadline - server.loop.now()))
             self._await_response(connection, request)
         except ProtocolError as error:
@@ -113,10 +113,9 @@
         """Delay an error response, so that a client that retries at once costs the gateway little."""
         server = self._server
         if server.timeouts.error_delay_us:
-            connection.idle_since_us = server.loop.now()
-            server.new_connections[connection] = None
+            server.waiting_connections.await_error(connection, server.loop.now())
             server.loop.sleep(server.timeouts.error_delay_us)
-            server.new_connections.pop(connection, None)
+            server.waiting_connections.remove(connection)
 
     def _create_pending_request(
         self, connection: ClientConnection, head: Request, call: Call
--- a/orchidlane/gateway/server/request_reader.py
+++ b/orchidlane/gateway/server/request_reader.py
@@ -8,6 +8,7 @@
 from orchidlane.gateway.forwarding.protocol_adapter import Timeouts
 from orchidlane.gateway.forwarding.request_body import RequestBody
 from orchidlane.gateway.server.client_connection import ClientConnection, ConnectionObserver, receive_observed
+from orchidlane.gateway.server.waiting_connections import WaitingConnections
 from orchidlane.http1 import Data, End, ProtocolError, Request
 from orchidlane.runtime import ConnectionClosedError, DeadlineExceededError, EventLoop
 
@@ -20,8 +21,7 @@
     draining: bool
     shutdown_deadline: int | None
     observer: ConnectionObserver | None
-    new_connections: dict[ClientConnection, None]
-    idle_connections: dict[ClientConnection, None]
+    waiting_connections: WaitingConnections
 
 
 class RequestReader:
@@ -36,17 +36,14 @@
         Raises ProtocolError for a head that is invalid, truncated or takes too long.
         """
         server, parser = self._server, connection.parser
-        has_sent_request = connection.has_sent_request
-        connection.idle_since_us = server.loop.now()
-        waiting = server.idle_connections if has_sent_request else server.new_connections
-        waiting[connection] = None
+        server.waiting_connections.await_request(connection, server.loop.now())
         try:
             if not parser.pending_bytes and not self._wait_for_request(connection):
                 return None
         except DeadlineExceededError:
             return None
         finally:
-            server.idle_connections.pop(connection, None)
+            server.waiting_connections.idle.pop(connection, None)
         deadline = self._head_deadline(connection)
         while (event := parser.next_event()) is None:
             try:
--- a/tests/harness/race_harness.py
+++ b/tests/harness/race_harness.py
@@ -90,6 +90,6 @@
     client = harness.connect()
     client.send(call())
     assert harness.answer(client)[0] == 200
-    harness.until(lambda: harness.gateway.http_server.idle_connections)
-    next(iter(harness.gateway.http_server.idle_connections)).idle_since_us -= SECOND
+    harness.until(lambda: harness.gateway.http_server.waiting_connections.idle)
+    next(iter(harness.gateway.http_server.waiting_connections.idle)).idle_since_us -= SECOND
     return client
--- a/tests/test_connection_races.py
+++ b/tests/test_connection_races.py
@@ -58,7 +58,7 @@
     def test(harness: RealPlatformHarness) -> None:
         client, server = idle_client(harness), harness.gateway.http_server
         client.send(call())
-        assert not server._close_idle()
+        assert not server._close_waiting()
         assert harness.answer(client)[0] == 200
 
     run(serve_every_request, test=test)
@@ -67,7 +67,7 @@
 def test_a_request_sent_just_after_eviction_is_not_forwarded():
     def test(harness: RealPlatformHarness) -> None:
         client, server = idle_client(harness), harness.gateway.http_server
-        assert server._close_idle()
+        assert server._close_waiting()
         client.send(call())
         assert read_to_end(harness, client) == b""
         assert not server.connections
