A discovery watch that ends early is replaced within half of the grace of drains

Cause: PollSchedule replaced consecutive watches of under 2 s with a wait that doubled up to 1.6 s after the poll, so for longer than the grace no poll was open. A watch that ends in place of telling was taken for a fault of discovery.

The agent ended a watch at 7.480 s, opened at 7.379 s; the next poll came at 8.979 s and the one after it at 10.581 s, 1.6 s apart, and the drains in between were told in their answers.

Change: one interval between any two polls, half of the grace and at most 0.5 s, as after polls without a response. The state for the backoff is gone. test_short_watches_are_replaced_with_backoff asserted the cause; the test in its place asserts the exact interval for watches of seven lengths, and the bound in the test of random events is the interval in place of 1.6 s.

--- a/orchidlane/platform/discovery_watch.py
+++ b/orchidlane/platform/discovery_watch.py
@@ -80,7 +80,7 @@
                 self.log(f"discovery: {error}")
         finally:
             del self._polls[number]
-            self.schedule.poll_finished(number, self.loop.now())
+            self.schedule.poll_finished(number)
             self._wake()
 
     def _read_events(self, number: int, address: Address, on_response: Callable[[], None]) -> None:
--- a/orchidlane/platform/polling.py
+++ b/orchidlane/platform/polling.py
@@ -14,7 +14,11 @@
 from discovery's return on, and an endpoint that drains may get no more requests after the drain grace. So
 while no poll has a response, another one is made every half of the drain grace, at most ``MAX_PENDING_POLLS``
 wait in parallel, and the first one with a response becomes the active watch. While a watch is active no polls
-are made. A watch that finishes is replaced at once, but consecutive short watches are replaced with backoff.
+are made.
+
+A watch may also finish because of an event, without sending it, and any number of watches in a row may. So a
+watch that finishes is replaced at once, or one retry interval after its own poll was made, if that is later:
+the gateway is never without an open poll for longer than half of the drain grace.
 """
 
 from __future__ import annotations
@@ -25,12 +29,11 @@
 NOTIFICATION_DEADLINE_US = 6_000_000  # by the platform's protocol
 MIN_RETRY_INTERVAL_US = 100_000
 MAX_RETRY_INTERVAL_US = 500_000
-MAX_BACKOFF_US = 1_600_000
 MAX_PENDING_POLLS = 4
 
 
 def retry_interval_us(drain_grace_us: int) -> int:
-    """Return the microseconds to wait for the response to a poll before the next poll is made."""
+    """Return the microseconds from one poll to the next while there is no watch."""
     return min(MAX_RETRY_INTERVAL_US, max(MIN_RETRY_INTERVAL_US, drain_grace_us // 2))
 
 
@@ -47,8 +50,6 @@
         self.pending: dict[int, int] = {}
         self.next_poll_at = 0
         self._last_number = 0
-        self._active_since = 0  # the time when the active poll was made
-        self._short_watches = 0  # consecutive watches shorter than ``HEARTBEAT_INTERVAL_US``
 
     def next_poll(self, now: int) -> tuple[int | None, list[int]]:
         """Return the number of the poll to make now, None if none is due, and the polls to cancel."""
@@ -66,25 +67,17 @@
         """Make the poll that got a response the active watch; return the pending polls to cancel."""
         if number not in self.pending:
             return []
-        self._active_since = self.pending.pop(number)
+        del self.pending[number]
         others = list(self.pending)
         self.pending.clear()
         self.active = number
         return others
 
-    def poll_finished(self, number: int, now: int) -> None:
+    def poll_finished(self, number: int) -> None:
         """Handle a poll that finished: refused, reset, closed, silent, or its response was not valid."""
         self.pending.pop(number, None)
-        if number != self.active:
-            return
-        self.active = None
-        if now - self._active_since >= HEARTBEAT_INTERVAL_US:
-            self._short_watches = 0
-            self.next_poll_at = now
-            return
-        self._short_watches += 1
-        backoff_us = self.interval_us << (self._short_watches - 1)
-        self.next_poll_at = max(self.next_poll_at, self._active_since + min(MAX_BACKOFF_US, backoff_us))
+        if number == self.active:
+            self.active = None
 
     def next_deadline(self) -> int | None:
         """Return the time from which ``next_poll`` returns a poll, None while a watch is active."""
--- a/tests/harness/platform_harness.py
+++ b/tests/harness/platform_harness.py
@@ -161,6 +161,14 @@
         data = line if isinstance(line, bytes) else json.dumps(line, indent=indent).encode() + b"\n"
         stream.send(b"%x\r\n%s\r\n" % (len(data), data))
 
+    def end_watches(self) -> None:
+        """Close all open watches, in order, without telling them anything."""
+        for stream in self.streams:
+            with suppress(ConnectionClosedError):
+                stream.send(b"0\r\n\r\n")
+            stream.close()
+        self.streams = []
+
     def notify(self, generation: int, *instances: dict, reset: bool = False) -> None:
         """Send an event to all open watches."""
         for stream in self.streams:
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -114,7 +114,9 @@
 @WITH_BACKENDS
 def test_a_watch_that_is_reset_is_reopened_at_once(backend):
     def test(harness: PlatformHarness) -> None:
-        harness.loop.sleep(polling.HEARTBEAT_INTERVAL_US)  # a short watch would be replaced with backoff
+        harness.loop.sleep(
+            polling.HEARTBEAT_INTERVAL_US
+        )  # a watch is replaced at once if it lasted for an interval
         drain_endpoint(harness)
         harness.discovery.streams[0].abort()
         harness.until(lambda: is_drain_known(harness), timeout_us(harness, DRAIN_GRACE_US // 2))
@@ -122,6 +124,34 @@
     run(backend, test)
 
 
+@pytest.mark.parametrize("grace_ms", [200, 400, 500, 1_000, 2_000])
+@pytest.mark.parametrize("changes_per_grace", [0.3, 0.9, 2, 9])
+def test_drains_are_known_within_the_grace_while_each_change_ends_the_watch(grace_ms, changes_per_grace):
+    """Guards against a pause between short watches in which draining endpoints still get requests."""
+    interval_us = int(grace_ms * MS / changes_per_grace)
+    waits_us = []
+
+    def await_drain(harness: PlatformHarness, index: int) -> None:
+        drained_at = harness.loop.now()
+        while harness.gateway.tracker.state(b"s-%d" % index) != "draining":
+            harness.loop.sleep(1 * MS)
+        waits_us.append(harness.loop.now() - drained_at)
+
+    def test(harness: PlatformHarness) -> None:
+        for index in range(1, 25):
+            entry = harness.instance(index, "leaving")
+            newest = {"generation": 1 + index, "reset": False, "instances": [entry]}
+            harness.discovery.first_events = [*harness.discovery.first_events, newest]
+            harness.discovery.end_watches()
+            harness.scope.spawn(await_drain, harness, index)
+            harness.loop.sleep(interval_us)
+        harness.until(lambda: len(waits_us) == 24)
+        assert max(waits_us) <= retry_interval_us(grace_ms * MS) + 5 * MS
+
+    rules = {**settings()["rules"], "drainGrace": grace_ms * MS}
+    run(PlatformHarness, test, settings=settings(rules=rules))
+
+
 @WITH_BACKENDS
 def test_a_watch_with_heartbeats_alone_stays_open(backend):
     def test(harness: PlatformHarness) -> None:
--- a/tests/test_polling.py
+++ b/tests/test_polling.py
@@ -19,7 +19,6 @@
 def test_a_silent_watch_is_replaced_before_its_notification_deadline(grace_us):
     interval_us = retry_interval_us(grace_us)
     assert polling.SILENCE_TIMEOUT_US + 7 * interval_us <= polling.NOTIFICATION_DEADLINE_US
-    assert polling.SILENCE_TIMEOUT_US + 2 * polling.MAX_BACKOFF_US < polling.NOTIFICATION_DEADLINE_US
 
 
 @pytest.mark.parametrize("grace_us", [1, 300 * MS, 500 * MS, SECOND, 5 * SECOND])
@@ -48,14 +47,14 @@
                 open_polls = [poll for poll in open_polls if poll not in cancelled]
             else:
                 open_polls.remove(number)
-                schedule.poll_finished(number, now)
+                schedule.poll_finished(number)
         number, surplus = schedule.next_poll(now)
         open_polls = [poll for poll in open_polls if poll not in surplus]
         open_polls += [number] if number is not None else []
         assert len(open_polls) <= polling.MAX_PENDING_POLLS
         assert set(open_polls) == {*schedule.pending, *([schedule.active] if schedule.active else [])}
         if schedule.active is None:
-            assert schedule.next_deadline() <= now + polling.MAX_BACKOFF_US
+            assert schedule.next_deadline() <= now + schedule.interval_us
         else:
             assert schedule.next_deadline() is None
             assert number is None
@@ -66,17 +65,19 @@
     schedule = PollSchedule(500 * MS)
     number, _ = schedule.next_poll(0)
     schedule.response_received(number)
-    schedule.poll_finished(number, 10 * SECOND)
+    schedule.poll_finished(number)
     assert schedule.next_poll(10 * SECOND)[0] is not None
 
 
-def test_short_watches_are_replaced_with_backoff():
-    schedule, now, intervals = PollSchedule(250 * MS), 0, []
-    for _ in range(7):
+@pytest.mark.parametrize("lifetime_us", [0, 1 * MS, 100 * MS, 249 * MS, 250 * MS, 400 * MS, 1_999 * MS])
+def test_a_watch_that_finishes_is_replaced_within_an_interval_however_many_were_short(lifetime_us):
+    """Guards against a growing wait without a watch, in which the gateway misses that endpoints drain."""
+    schedule, now = PollSchedule(250 * MS), 0
+    for _ in range(20):
         started_at = now
         number, _ = schedule.next_poll(now)
         schedule.response_received(number)
-        schedule.poll_finished(number, now)
-        now = schedule.next_deadline()
-        intervals.append((now - started_at) // MS)
-    assert intervals == [250, 500, 1_000, 1_600, 1_600, 1_600, 1_600]
+        schedule.poll_finished(number)
+        ended_at = started_at + lifetime_us
+        now = max(ended_at, schedule.next_deadline())
+        assert now == max(ended_at, started_at + 250 * MS)
