The endpoint watch of an OpenAPI fleet does not back off after watches that got the list

What callers would see: with changes that end the watch, drains are known up to 7.5 s late, with a grace of 0.5 s by default; draining endpoints get requests meanwhile.

Cause: EndpointWatch doubled its wait after every watch of under 5 s, whether it had received the list or not.

Change: a watch that received an event counts as healthy and is replaced after the shortest wait (50 to 150 ms). A service that refuses, is silent or sends what is not valid still gets the backoff.

Measured: tests/test_gateway_endpoints.py, the new test fails before and passes now (12 changes in a row, each known within 0.5 s).

--- a/orchidlane/gateway/control/endpoint_watch.py
+++ b/orchidlane/gateway/control/endpoint_watch.py
@@ -44,6 +44,7 @@
         self.notify = notify
         self.failures = 0
         self._cached_digest = b""
+        self._has_received_event = False  # on the current watch
 
     def load_cache(self) -> None:
         """Load the cached list, if there is a valid one."""
@@ -56,21 +57,22 @@
             self.notify(event)
 
     def run(self) -> None:
-        """Watch the list indefinitely, with backoff after failures, during which the list stays unchanged."""
+        """Watch the list indefinitely, with backoff after failures, during which the list stays unchanged.
+
+        A watch that received an event has not failed, however short it was: it is replaced without backoff.
+        """
         delay_us = MIN_RETRY_DELAY_US
         while True:
             started_at = self.loop.now()
+            self._has_received_event = False
             try:
                 self._watch()
             except (EventLoopError, ProtocolError, LineTooLongError, WatchEventError):
                 self.failures += 1
                 self.notify(policy.EndpointListReceived(policy.EndpointListKind.FAILED, 0, ()))
             lasted_us = self.loop.now() - started_at
-            delay_us = (
-                MIN_RETRY_DELAY_US
-                if lasted_us > MAX_RETRY_DELAY_US
-                else min(MAX_RETRY_DELAY_US, 2 * delay_us)
-            )
+            was_healthy = self._has_received_event or lasted_us > MAX_RETRY_DELAY_US
+            delay_us = MIN_RETRY_DELAY_US if was_healthy else min(MAX_RETRY_DELAY_US, 2 * delay_us)
             self.loop.sleep(int(delay_us * (0.5 + self.loop.backend.random.random())))
 
     def _watch(self) -> None:
@@ -81,6 +83,7 @@
             for lines in read_objects(self.loop, stream, SILENCE_TIMEOUT_US, MAX_LINE_BYTES):
                 for line in lines:
                     event = self.tracker.apply_line(line)
+                    self._has_received_event = True
                     if event is not None:
                         self.notify(event)
         finally:
--- a/tests/test_gateway_endpoints.py
+++ b/tests/test_gateway_endpoints.py
@@ -25,6 +25,22 @@
     assert run(good, test=test).seen == []
 
 
+def test_drains_are_known_within_the_grace_while_each_change_ends_the_watch():
+    """Guards against a growing backoff between watches that are short, but did receive the list."""
+
+    def test(harness):
+        for index in range(12):
+            drains = index % 2 == 0
+            for stream in list(harness.fake_discovery.watchers):
+                harness.fake_discovery.watchers.pop(stream)
+                stream.close()  # so the change is not sent on this watch
+            harness.set_endpoint_state(0, "draining" if drains else "ready")
+            harness.loop.sleep(harness.fleet.endpoints.drain_grace_us)
+            assert harness.program.tracker.state(b"127.0.0.1:9000") == ("draining" if drains else "ready")
+
+    run(good, test=test)
+
+
 def test_a_paused_gateway_sends_nothing_to_an_endpoint_drained_in_the_pause():
     """Guards against a decision from before the pause that is carried out after it (rule 3)."""
 
