Responses are compared by Python's own hash, since the gateway must not load hashlib

Change: the hash of the body in place of a digest. Two bodies with the same 64 bits would only cost a retry.

Measured: that test and the tests of responses, connections and the platform pass.

--- a/orchidlane/gateway/forwarding/attempt.py
+++ b/orchidlane/gateway/forwarding/attempt.py
@@ -257,7 +257,7 @@
         self.load_report = endpoints.load_report(head)
         outcome = endpoints.outcome(head)
         if outcome is not Outcome.SERVED:
-            exchange.connection.body_digest = UNKNOWN
+            exchange.connection.body_hash = UNKNOWN
             return AttemptResult(outcome, None, exchange.drain(head))
         response = endpoints.client_response(self.request, head)
         pieces: list[bytes] = []
--- a/orchidlane/gateway/forwarding/connection_pool.py
+++ b/orchidlane/gateway/forwarding/connection_pool.py
@@ -8,7 +8,7 @@
 from orchidlane import http1
 from orchidlane.gateway.forwarding.connection_reuse import ReuseStatistics
 from orchidlane.gateway.forwarding.protocol_adapter import GatewayLimits
-from orchidlane.gateway.forwarding.response_history import UNKNOWN, ResponseHistory, digest_of
+from orchidlane.gateway.forwarding.response_history import UNKNOWN, ResponseHistory, hash_of
 from orchidlane.runtime import (
     Address,
     ConnectionClosedError,
@@ -31,13 +31,13 @@
     """A connection to an endpoint with its parser.
 
     ``has_response_bytes`` is whether a byte of the response to the current request was received; ``idle_us``
-    is how long the connection was idle before that request, None for a new connection. ``body_digest`` is
+    is how long the connection was idle before that request, None for a new connection. ``body_hash`` is
     that of the latest response, ``is_settled`` whether the next one must be genuine (``response_history``).
     """
 
     __slots__ = (
         "address",
-        "body_digest",
+        "body_hash",
         "has_response_bytes",
         "idle_since",
         "idle_us",
@@ -53,7 +53,7 @@
         self.idle_since = 0
         self.has_response_bytes = False
         self.idle_us: int | None = None
-        self.body_digest = UNKNOWN
+        self.body_hash: int | None = UNKNOWN
         self.is_settled = True
 
 
@@ -129,14 +129,14 @@
         if settled is not None or not self._responses.are_distinct:
             return settled
         index = _latest_before(idle, now - timeouts.endpoint_reuse_delay_us)
-        return index if index is not None and idle[index].body_digest != UNKNOWN else None
+        return index if index is not None and idle[index].body_hash is not UNKNOWN else None
 
     def accept_response(self, connection: EndpointConnection, body: bytes) -> bool:
         """Record the body of a complete response; return False if it may be a copy of the one before."""
         if not self.timeouts.endpoint_settle_us:
             return True
-        previous, connection.body_digest = connection.body_digest, digest_of(body)
-        return self._responses.accept(previous, connection.body_digest, connection.is_settled)
+        previous, connection.body_hash = connection.body_hash, hash_of(body)
+        return self._responses.accept(previous, connection.body_hash, connection.is_settled)
 
     def _may_reuse(self, connection: EndpointConnection, is_non_idempotent: bool) -> bool:
         now = self.loop.now()
--- a/orchidlane/gateway/forwarding/response_history.py
+++ b/orchidlane/gateway/forwarding/response_history.py
@@ -10,11 +10,8 @@
 
 from __future__ import annotations
 
-import hashlib
-
 REQUIRED_DISTINCT_RESPONSES = 16  # in a row; services with few different bodies rarely reach it
-DIGEST_BYTES = 16
-UNKNOWN = b""  # no response that a later one could be told from
+UNKNOWN = None  # no response that a later one could be told from
 
 
 class ResponseHistory:
@@ -28,15 +25,15 @@
         """Whether a copy can be told from the next response."""
         return self._distinct_count >= REQUIRED_DISTINCT_RESPONSES
 
-    def accept(self, previous: bytes, latest: bytes, is_settled: bool) -> bool:
-        """Count a response, given its digest and that of the one before; return False if it may be a copy."""
-        if UNKNOWN in (previous, latest):
+    def accept(self, previous: int | None, latest: int | None, is_settled: bool) -> bool:
+        """Count a response, given its hash and that of the one before; return False if it may be a copy."""
+        if previous is UNKNOWN or latest is UNKNOWN:
             return True
         is_distinct = previous != latest
         self._distinct_count = self._distinct_count + 1 if is_distinct else 0
         return is_distinct or is_settled
 
 
-def digest_of(body: bytes) -> bytes:
-    """Return a digest of a response's body; ``UNKNOWN`` for an empty one, since empty ones are all alike."""
-    return hashlib.blake2b(body, digest_size=DIGEST_BYTES).digest() if body else UNKNOWN
+def hash_of(body: bytes) -> int | None:
+    """Return a hash of a response's body; ``UNKNOWN`` for an empty one, since empty ones are all alike."""
+    return hash(body) if body else UNKNOWN
--- a/tests/test_late_responses.py
+++ b/tests/test_late_responses.py
@@ -12,7 +12,7 @@
     REQUIRED_DISTINCT_RESPONSES,
     UNKNOWN,
     ResponseHistory,
-    digest_of,
+    hash_of,
 )
 from orchidlane.http1 import header
 from orchidlane.runtime import ConnectionClosedError
@@ -114,16 +114,16 @@
     history = ResponseHistory()
     for number in range(REQUIRED_DISTINCT_RESPONSES):
         assert not history.are_distinct
-        assert history.accept(digest_of(b"%d" % number), digest_of(b"%d" % (number + 1)), is_settled=True)
+        assert history.accept(hash_of(b"%d" % number), hash_of(b"%d" % (number + 1)), is_settled=True)
     assert history.are_distinct
-    assert history.accept(digest_of(b"same"), digest_of(b"same"), is_settled=True)
+    assert history.accept(hash_of(b"same"), hash_of(b"same"), is_settled=True)
     assert not history.are_distinct
 
 
 def test_a_response_like_the_one_before_is_accepted_only_if_it_must_be_genuine():
     history = ResponseHistory()
-    same, other = digest_of(b"same"), digest_of(b"other")
+    same, other = hash_of(b"same"), hash_of(b"other")
     assert [history.accept(same, same, is_settled) for is_settled in (True, False)] == [True, False]
     assert [history.accept(same, other, is_settled) for is_settled in (True, False)] == [True, True]
-    assert digest_of(b"") == UNKNOWN
+    assert hash_of(b"") is UNKNOWN
     assert history.accept(UNKNOWN, UNKNOWN, is_settled=True)
