--- a/orchidlane/gateway/forwarding/connection_pool.py
+++ b/orchidlane/gateway/forwarding/connection_pool.py
@@ -125,11 +125,11 @@
     def _latest_reusable(self, idle: deque[EndpointConnection]) -> int | None:
         """Return the index of the most recently idle connection that is settled, or may be reused before."""
         now, timeouts = self.loop.now(), self.timeouts
-        settled = _latest_before(idle, now - timeouts.endpoint_settle_us)
-        if settled is not None or not self._responses.are_distinct:
-            return settled
-        index = _latest_before(idle, now - timeouts.endpoint_reuse_delay_us)
-        return index if index is not None and idle[index].body_hash is not UNKNOWN else None
+        if self._responses.are_distinct:
+            index = _latest_before(idle, now - timeouts.endpoint_reuse_delay_us)
+            if index is None or idle[index].body_hash is not UNKNOWN:
+                return index
+        return _latest_before(idle, now - timeouts.endpoint_settle_us)
 
     def accept_response(self, connection: EndpointConnection, body: bytes) -> bool:
         """Record the body of a complete response; return False if it may be a copy of the one before."""
