--- a/orchidlane/gateway/server/accept_loop.py
+++ b/orchidlane/gateway/server/accept_loop.py
@@ -6,7 +6,7 @@
 
 from orchidlane.runtime import ConnectionClosedError, ConnectionFailedError, EventLoop, Listener, Stream
 
-ACCEPT_RETRY_DELAY_US = 20_000  # while the process is out of file descriptors or connections
+ACCEPT_RETRY_DELAY_US = 20_000  # while the process is out of file descriptors
 
 
 def accept_clients(
--- a/orchidlane/gateway/server/waiting_connections.py
+++ b/orchidlane/gateway/server/waiting_connections.py
@@ -12,8 +12,8 @@
 from orchidlane.gateway.forwarding.protocol_adapter import Timeouts
 from orchidlane.gateway.server.client_connection import ClientConnection
 
-MAX_EARLY_CLOSES = 1_000  # at once
-EARLY_CLOSE_INTERVAL_US = 5_000  # after that
+MAX_EARLY_CLOSES = 1_000  # at once; silent clients may connect by the hundreds
+EARLY_CLOSE_INTERVAL_US = 5_000  # from one to the next beyond those, so that they take little CPU
 
 
 class EarlyCloses:
@@ -72,8 +72,8 @@
         """Return the connection to close first, None if none can be closed now.
 
         Silent clients come first, then those with an invalid request, whatever they sent after it, then
-        incomplete first requests, then the connection that was idle longest. While a silent or a rejected
-        one is only too young, no other is returned. A request that has already arrived is served.
+        incomplete first requests, then the connection that was idle longest. The latter two are not closed
+        while a silent or a rejected one is only too young, nor with unread input: that request is served.
         """
         idle_before = now - self._min_idle_us
         silent = next(filter(is_silent, self.new), None)
--- a/orchidlane/platform/polling.py
+++ b/orchidlane/platform/polling.py
@@ -18,7 +18,7 @@
 
 A watch may also finish because of an event, without sending it, and any number of watches in a row may. So a
 watch that finishes is replaced at once, or one retry interval after its own poll was made, if that is later:
-the gateway is never without an open poll for longer than half of the drain grace.
+the gateway is never without an open poll for longer than one retry interval.
 """
 
 from __future__ import annotations
--- a/orchidlane/platform/resource_limits.py
+++ b/orchidlane/platform/resource_limits.py
@@ -71,7 +71,7 @@
     error_delay_us: int = 500_000
     client_idle_us: int = 20_000_000
     min_client_idle_us: int = 150_000
-    min_silent_client_us: int = 20_000
+    min_silent_client_us: int = 20_000  # clients send as soon as they are connected
     client_write_us: int = 2_000_000
     response_margin_us: int = 12_000
     linger_us: int = 300_000
