--- a/review/6/case.py
+++ b/review/6/case.py
@@ -2,20 +2,29 @@
 
 from __future__ import annotations
 
-import time
 from contextlib import ExitStack
 from pathlib import Path
-from signal import SIGKILL
 
-from stand_ins import BadClients, Client, Discovery, Gateway, Host, Record, instance, plan, run_case, settings
+from stand_ins import (
+    BadClients,
+    Client,
+    Discovery,
+    Gateway,
+    Host,
+    Record,
+    instance,
+    plan,
+    run_case,
+    settings,
+    watch_memory,
+)
 
 HOSTS = 4
 SOCKETS = 512  # the pages give an api gateway 256 to 1,024
 MEMORY_MB = 96  # the pages give it 32 to 192 MB
 BAD_CLIENTS = 200
 BAD_CLIENTS_S = 20.0
-QUIET_S = 3.0
-CHECK_INTERVAL_S = 0.05
+REQUESTS_BEFORE = 4
 
 
 def case(record: Record, trouble: bool) -> bool:
@@ -29,34 +38,15 @@
         ExitStack() as stack,
     ):
         client = Client(record, gateway.port)
-        peak_mb = watch(record, gateway, client, QUIET_S)
-        record.note(f"memory in quiet: at most {peak_mb:.1f} MB")
+        for _ in range(REQUESTS_BEFORE):
+            client.send("sheet-read", 2.0)
+        record.note(f"memory before: {gateway.anonymous_memory_mb():.1f} MB")
         if trouble:
-            stack.enter_context(BadClients(record, gateway.port, BAD_CLIENTS, BAD_CLIENTS_S))
-        peak_mb = watch(record, gateway, client, BAD_CLIENTS_S)
-        record.note(f"memory: at most {peak_mb:.1f} MB of {MEMORY_MB} MB")
-        return peak_mb <= MEMORY_MB and gateway.is_running()
-
-
-def watch(record: Record, gateway: Gateway, client: Client, seconds: float) -> float:
-    """Do what the platform does: kill the gateway once it is over its memory. Return the most memory seen."""
-    end = record.now() + seconds
-    peak_mb = 0.0
-    next_request = 0.0
-    while record.now() < end and gateway.is_running():
-        memory_mb = gateway.anonymous_memory_mb()
-        if memory_mb > peak_mb + 20:
-            record.note(f"memory: {memory_mb:.1f} MB")
-        peak_mb = max(peak_mb, memory_mb)
-        if memory_mb > MEMORY_MB:
-            gateway.signal(SIGKILL)
-            record.note("the platform has killed the gateway, as it is over its memory")
-            break
-        if record.now() >= next_request and peak_mb < 20:
-            client.send("sheet-read", 1.0)
-            next_request = record.now() + 0.9
-        time.sleep(CHECK_INTERVAL_S)
-    return peak_mb
+            stack.enter_context(BadClients(record, "body", gateway.port, BAD_CLIENTS, BAD_CLIENTS_S))
+        peak_mb = watch_memory(record, gateway, MEMORY_MB, BAD_CLIENTS_S)
+        is_running = gateway.is_running()
+    record.note(f"memory: at most {peak_mb:.1f} MB of {MEMORY_MB} MB")
+    return peak_mb <= MEMORY_MB and is_running
 
 
 if __name__ == "__main__":
--- a/review/support-2/bad_clients.py
+++ b/review/support-2/bad_clients.py
@@ -1,7 +1,9 @@
-"""Bad clients as the pages describe them, in a process of their own: ``bad_clients.py PORT COUNT SECONDS``.
+"""Bad clients as the pages describe them, in a process of their own.
 
-Each sends a body of 60 MB at full speed, in chunks of one byte, until it is turned away; it reads what it is
-sent, and sends the same again as soon as it is turned away.
+``bad_clients.py FORM PORT COUNT SECONDS``. They read what they are sent, and send the same again as soon as
+they are turned away. With the form ``body`` each sends a body of 60 MB at full speed, in chunks of one byte,
+until it is turned away; with ``requests`` each sends hundreds of requests at once, each of a customer that
+comes once.
 """
 
 from __future__ import annotations
@@ -20,19 +22,56 @@
 BLOCK = b"1\r\nx\r\n" * 10_000
 BLOCK_BODY_BYTES = 10_000
 CONNECT_TIMEOUT_S = 30.0
+REQUESTS_AT_ONCE = 200
+SPREAD = 3
+CUSTOMER_BITS = 33
 
 
-def send_again_and_again(port: int, end: float, results: Counter[str]) -> None:
-    """Send bodies until a time of the monotonic clock."""
+def send_again_and_again(form: str, port: int, end: float, results: Counter[str]) -> None:
+    """Connect and send until a time of the monotonic clock."""
     while time.monotonic() < end:
         try:
             with socket.create_connection(("127.0.0.1", port), timeout=CONNECT_TIMEOUT_S) as stream:
-                results[send_body(stream, end)] += 1
+                if form == "body":
+                    results[send_body(stream, end)] += 1
+                else:
+                    send_requests(stream, end, results)
         except OSError as error:
             results[type(error).__name__] += 1
             time.sleep(0.05)
 
 
+def send_requests(stream: socket.socket, end: float, results: Counter[str]) -> None:
+    """Send hundreds of requests at once, read their answers, and do so again."""
+    stream.settimeout(CONNECT_TIMEOUT_S)
+    while time.monotonic() < end:
+        customers = [random.getrandbits(CUSTOMER_BITS) for _ in range(REQUESTS_AT_ONCE)]
+        requests = [
+            request_bytes(new_request_id(), "sheet-read", 2.0, customer=customer, spread=SPREAD)
+            for customer in customers
+        ]
+        stream.sendall(b"".join(requests))
+        if not read_answers(stream, len(requests), results):
+            results["closed"] += 1
+            return
+
+
+def read_answers(stream: socket.socket, count: int, results: Counter[str]) -> bool:
+    """Read so many answers and count their status lines; return False where the gateway closes before."""
+    rest = b""
+    while count:
+        data = stream.recv(65_536)
+        if not data:
+            return False
+        *lines, rest = (rest + data).split(b"\r\n")
+        for line in lines:
+            start = line.find(b"HTTP/1.1 ")  # a body may precede it
+            if start >= 0:
+                results[line[start:].decode("latin-1")] += 1
+                count -= 1
+    return True
+
+
 def send_body(stream: socket.socket, end: float) -> str:
     """Send one request at full speed until the gateway answers or closes; return the answer's first line."""
     key = f"{random.getrandbits(128):032x}"
@@ -56,10 +95,12 @@
 
 def main() -> None:
     """Run the clients and print what they got."""
-    port, count, seconds = int(sys.argv[1]), int(sys.argv[2]), float(sys.argv[3])
+    form, port, count, seconds = sys.argv[1], int(sys.argv[2]), int(sys.argv[3]), float(sys.argv[4])
     end = time.monotonic() + seconds
     results: Counter[str] = Counter()
-    threads = [threading.Thread(target=send_again_and_again, args=(port, end, results)) for _ in range(count)]
+    threads = [
+        threading.Thread(target=send_again_and_again, args=(form, port, end, results)) for _ in range(count)
+    ]
     for thread in threads:
         thread.start()
     for thread in threads:
--- a/review/support-2/stand_ins.py
+++ b/review/support-2/stand_ins.py
@@ -24,6 +24,8 @@
 HELD, BROKEN, NOT_RUN = 0, 1, 2
 HEARTBEAT_S = 2.0
 READY_TIMEOUT_S = 30.0
+MEMORY_CHECK_INTERVAL_S = 0.05
+BAD_CLIENTS_END_S = 2.0  # until bad clients that have not ended by themselves are ended
 HEAD_END = b"\r\n\r\n"
 LATE_ANSWER_S = 0.5  # an answer that comes so much after its time only earns nothing; later, it is lost
 SLACK_S = 0.05  # every time limit on sockets is longer by this
@@ -447,6 +449,7 @@
     key: str = "",
     body: bytes = b"",
     customer: int = 0xB4D65521,
+    spread: int = 1,
 ) -> bytes:
     """Return a client's request; a class that is safe to repeat uses GET."""
     method = "GET" if class_name == "sheet-read" else "POST"
@@ -456,7 +459,7 @@
         f"X-Request-ID: {request_id}",
         "Plan: basico",
         f"X-Timeout: {timeout_s:.3f}",
-        "Quota-Info: units=1,spread=1,first=0",
+        f"Quota-Info: units=1,spread={spread},first=0",
     ]
     if key:
         lines.append(f"Idempotency-Key: {key}")
@@ -551,13 +554,15 @@
         known: list[dict[str, Any]],
         sockets: int = 512,
         memory_mb: int = 96,
+        peers: tuple[str, ...] = (),
     ) -> None:
         self.record = record
+        self.name = f"n{gateway_settings['rank']}"
         self.port = free_port()
         self._folder = tempfile.TemporaryDirectory(prefix="orchidlane-case-")
         self.path = Path(self._folder.name) / "config.json"
         self.configuration: dict[str, Any] = {
-            "name": "n0",
+            "name": self.name,
             "listen": f"127.0.0.1:{self.port}",
             "discovery": discovery,
             "seed": f"{random.getrandbits(64):016x}",
@@ -565,6 +570,8 @@
             "known": {"generation": 40, "reset": True, "instances": known},
             "settings": gateway_settings,
         }
+        if peers:
+            self.configuration |= {"peers": peers, "peer_listen": peers[gateway_settings["rank"]]}
         self.write_configuration()
         self._process: subprocess.Popen[bytes]
 
@@ -579,7 +586,7 @@
         deploy = tomllib.loads((ROOT / "deploy/balancer.toml").read_text())
         environment = {
             **os.environ,
-            "PROXY_NAME": "n0",
+            "PROXY_NAME": self.name,
             "PROXY_LISTEN": self.configuration["listen"],
             "PROXY_DISCOVERY": self.configuration["discovery"],
             "PROXY_CONFIG": str(self.path),
@@ -605,7 +612,7 @@
     def signal(self, number: signal.Signals) -> float:
         """Send a signal to the program that ``run`` started; return the time."""
         self._process.send_signal(number)
-        return self.record.note(f"{number.name} goes to the gateway")
+        return self.record.note(f"{number.name} goes to {self.name}")
 
     def anonymous_memory_mb(self) -> float:
         """Return the resident memory that is not the content of files; 0 once the process has ended."""
@@ -623,7 +630,7 @@
     def _copy_log(self) -> None:
         assert self._process.stdout is not None
         for line in self._process.stdout:
-            self.record.note("gateway's log: " + line.decode(errors="replace").rstrip())
+            self.record.note(f"log of {self.name}: " + line.decode(errors="replace").rstrip())
 
     def _await_ready(self) -> None:
         deadline = time.monotonic() + READY_TIMEOUT_S
@@ -631,7 +638,7 @@
             if not self.is_running():
                 raise CaseCannotRunError("the gateway ended while it started")
             if self._is_up():
-                self.record.note("the gateway is ready")
+                self.record.note(f"{self.name} is ready")
                 return
             time.sleep(0.02)
         raise CaseCannotRunError("the gateway was not ready after 30 s")
@@ -646,25 +653,51 @@
 
 
 class BadClients:
-    """Bad clients in a process of their own (``bad_clients.py``), as a context manager."""
+    """Bad clients in processes of their own (``bad_clients.py``), as a context manager."""
 
-    def __init__(self, record: Record, port: int, count: int, seconds: float) -> None:
+    def __init__(
+        self, record: Record, form: str, port: int, count: int, seconds: float, processes: int = 1
+    ) -> None:
         self.record = record
-        self._arguments = [str(port), str(count), str(seconds)]
-        self._process: subprocess.Popen[str]
+        self._count = count
+        self._arguments = [form, str(port), str(count // processes), str(seconds)]
+        self._process_count = processes
+        self._processes: list[subprocess.Popen[str]] = []
 
     def __enter__(self) -> BadClients:
         program = str(Path(__file__).with_name("bad_clients.py"))
-        self._process = subprocess.Popen(
-            [sys.executable, program, *self._arguments], stdout=subprocess.PIPE, text=True
-        )
-        self.record.note(f"{self._arguments[1]} bad clients start")
+        command = [sys.executable, program, *self._arguments]
+        for _ in range(self._process_count):
+            self._processes.append(subprocess.Popen(command, stdout=subprocess.PIPE, text=True))
+        self.record.note(f"{self._count} bad clients start")
         return self
 
     def __exit__(self, *_: object) -> None:
-        self._process.terminate()
-        output, _ = self._process.communicate(timeout=20)
-        self.record.note(f"the bad clients end; what they got: {output.strip()}")
+        for process in self._processes:
+            try:
+                output, _ = process.communicate(timeout=BAD_CLIENTS_END_S)
+            except subprocess.TimeoutExpired:
+                process.terminate()
+                output, _ = process.communicate()
+            self.record.note(f"bad clients end; what they got: {output.strip()}")
+
+
+def watch_memory(record: Record, gateway: Gateway, limit_mb: float, seconds: float) -> float:
+    """Do what the platform does: kill the gateway once it is over its memory. Return the most memory seen."""
+    end = record.now() + seconds
+    noted_mb = peak_mb = 0.0
+    while record.now() < end and gateway.is_running():
+        memory_mb = gateway.anonymous_memory_mb()
+        peak_mb = max(peak_mb, memory_mb)
+        if memory_mb > noted_mb + 10:
+            noted_mb = memory_mb
+            record.note(f"memory of {gateway.name}: {memory_mb:.1f} MB")
+        if memory_mb > limit_mb:
+            gateway.signal(signal.SIGKILL)
+            record.note(f"the platform has killed {gateway.name}, as it is over its memory")
+            break
+        time.sleep(MEMORY_CHECK_INTERVAL_S)
+    return peak_mb
 
 
 def run_case(folder: Path, case: Callable[[Record, bool], bool]) -> None:
