--- a/review/6/case.py
+++ b/review/6/case.py
@@ -22,7 +22,7 @@
 HOSTS = 4
 SOCKETS = 512  # the pages give an api gateway 256 to 1,024
 MEMORY_MB = 96  # the pages give it 32 to 192 MB
-BAD_CLIENTS = 200
+BAD_CLIENTS = 150
 BAD_CLIENTS_S = 20.0
 REQUESTS_BEFORE = 4
 
