--- a/review/support-2/stand_ins.py
+++ b/review/support-2/stand_ins.py
@@ -23,6 +23,7 @@
 ROOT = Path(__file__).resolve().parent.parent.parent
 HELD, BROKEN, NOT_RUN = 0, 1, 2
 HEARTBEAT_S = 2.0
+OUTAGE_CHECK_S = 0.02
 READY_TIMEOUT_S = 30.0
 MEMORY_CHECK_INTERVAL_S = 0.05
 BAD_CLIENTS_END_S = 2.0  # until bad clients that have not ended by themselves are ended
@@ -261,6 +262,7 @@
         self.list_takes_s = 0.0
         self.calls = 0
         self.lists_written = 0
+        self.is_down = False  # while it is, the agent is silent: on open watches and to new calls
         self._watches: list[socket.socket] = []
         self._lock = threading.Lock()
         self._socket = listener()
@@ -291,6 +293,16 @@
             self._watches.clear()
         self.record.note(f"{self.name} has ended the open watches")
 
+    def go_down(self) -> None:
+        """Say nothing from now on."""
+        self.is_down = True
+        self.record.note(f"{self.name} is down: the agent is silent")
+
+    def come_back(self) -> None:
+        """Answer the open calls, and go on with the open watches."""
+        self.is_down = False
+        self.record.note(f"{self.name} is back")
+
     def _accept(self) -> None:
         while True:
             try:
@@ -307,8 +319,10 @@
             number = self._next_call()
             target = message[0].split(b" ")[1].decode()
             self.record.note(f"{self.name} gets call {number}: GET {target}")
-            delay_s = self.answer_after_s
-            if self._is_closed_within(stream, delay_s):
+            is_closed = self._is_closed_within(stream, self.answer_after_s)
+            while self.is_down and not is_closed:
+                is_closed = self._is_closed_within(stream, OUTAGE_CHECK_S)
+            if is_closed:
                 self.record.note(f"{self.name}: call {number} was closed by the caller before its answer")
                 return
             self._answer(stream, number)
@@ -373,7 +387,8 @@
         while True:
             time.sleep(HEARTBEAT_S)
             with self._lock:
-                self._write(chunk(b"\n"))
+                if not self.is_down:
+                    self._write(chunk(b"\n"))
 
     def _write(self, data: bytes) -> None:
         for stream in list(self._watches):
@@ -583,6 +598,11 @@
         new.replace(self.path)
 
     def __enter__(self) -> Gateway:
+        self.start()
+        return self
+
+    def start(self) -> float:
+        """Start the process and wait until it is ready; return the time at which it is."""
         deploy = tomllib.loads((ROOT / "deploy/balancer.toml").read_text())
         environment = {
             **os.environ,
@@ -600,8 +620,12 @@
             stderr=subprocess.STDOUT,
         )
         start_thread(self._copy_log)
-        self._await_ready()
-        return self
+        return self._await_ready()
+
+    def kill(self) -> None:
+        """Kill the process outright; ``start`` starts it again under its name and address, from nothing."""
+        self.signal(signal.SIGKILL)
+        self._process.wait(10)
 
     def __exit__(self, *_: object) -> None:
         if self._process.poll() is None:
@@ -632,14 +656,13 @@
         for line in self._process.stdout:
             self.record.note(f"log of {self.name}: " + line.decode(errors="replace").rstrip())
 
-    def _await_ready(self) -> None:
+    def _await_ready(self) -> float:
         deadline = time.monotonic() + READY_TIMEOUT_S
         while time.monotonic() < deadline:
             if not self.is_running():
                 raise CaseCannotRunError("the gateway ended while it started")
             if self._is_up():
-                self.record.note(f"{self.name} is ready")
-                return
+                return self.record.note(f"{self.name} is ready")
             time.sleep(0.02)
         raise CaseCannotRunError("the gateway was not ready after 30 s")
 
