--- a/orchidlane/gateway/forwarding/attempt.py
+++ b/orchidlane/gateway/forwarding/attempt.py
@@ -260,17 +260,15 @@
             exchange.connection.body_hash = UNKNOWN
             return AttemptResult(outcome, None, exchange.drain(head))
         response = endpoints.client_response(self.request, head)
-        pieces: list[bytes] = []
-        size = 0
+        body = bytearray()  # one buffer: an endpoint may send its response in pieces of one byte
         while not isinstance(event := exchange.next_event(), End):
             assert isinstance(event, Data)
-            pieces.append(event.data)
-            size += len(event.data)
-            if size > self.starter.max_buffered_response_bytes:
+            body += event.data
+            if len(body) > self.starter.max_buffered_response_bytes:
                 if not endpoints.forwards_streams:
                     return AttemptResult(Outcome.CONNECTION_BROKEN)
-                return self._stream(exchange, head, response, pieces)
-        response.body = b"".join(pieces)
+                return self._stream(exchange, head, response, bytes(body))
+        response.body = bytes(body)
         if not self.starter.pool.accept_response(exchange.connection, response.body):
             return AttemptResult(Outcome.CONNECTION_BROKEN)
         response.trailers = event.trailers
@@ -279,10 +277,10 @@
     # -- a response too large to buffer
 
     def _stream(
-        self, exchange: EndpointExchange, head: Response, response: ClientResponse, pieces: list[bytes]
+        self, exchange: EndpointExchange, head: Response, response: ClientResponse, first: bytes
     ) -> AttemptResult:
         """Notify the policy that the request was served, then stream the rest of the body to the client."""
-        stream = ResponseStream(self.loop, pieces)
+        stream = ResponseStream(self.loop, first)
         response.stream = stream
         self._finish(Outcome.SERVED, response)
         if self.request.response is not response:
--- a/orchidlane/gateway/forwarding/client_response.py
+++ b/orchidlane/gateway/forwarding/client_response.py
@@ -14,11 +14,11 @@
 class ResponseStream:
     """The rest of a response that is too large to buffer: a bounded queue from an attempt to the client."""
 
-    def __init__(self, loop: EventLoop, first: list[bytes]) -> None:
+    def __init__(self, loop: EventLoop, first: bytes) -> None:
         self.loop = loop
         self.is_broken = False
         self.trailers: http1.Headers = ()
-        self._queue: deque[bytes] = deque(first)
+        self._queue: deque[bytes] = deque([first])
         self._is_complete = False
         self._reader: Task | None = None
         self._writer: Task | None = None
--- a/orchidlane/gateway/forwarding/endpoint_exchange.py
+++ b/orchidlane/gateway/forwarding/endpoint_exchange.py
@@ -40,27 +40,27 @@
             return self._write(self._complete_request(head))
         if self._write(head):
             return True
-        number = 0
-        while (piece := body.piece(number, self.deadline)) is not None:
-            if self._has_early_response() or self._write(self._frame(piece)):
+        offset = 0
+        while (data := body.read(offset, self.deadline)) is not None:
+            if self._has_early_response() or self._write(self._frame(data)):
                 return True
-            number += 1
+            offset += len(data)
         return body.length is None and self._write(http1.last_chunk(body.trailers))
 
     def _complete_request(self, head: bytes) -> bytes:
         """Return head and body in one piece, so that most requests take a single write."""
         body = self.request.body
         parts = [head]
-        number = 0
-        while (piece := body.piece(number, self.deadline)) is not None:
-            parts.append(self._frame(piece))
-            number += 1
+        offset = 0
+        while (data := body.read(offset, self.deadline)) is not None:
+            parts.append(self._frame(data))
+            offset += len(data)
         if body.length is None:
             parts.append(http1.last_chunk(body.trailers))
         return b"".join(parts)
 
-    def _frame(self, piece: bytes) -> bytes:
-        return http1.chunk(piece) if self.request.body.length is None else piece
+    def _frame(self, data: bytes) -> bytes:
+        return http1.chunk(data) if self.request.body.length is None else data
 
     def _has_early_response(self) -> bool:
         data = self.connection.stream.try_recv()
--- a/orchidlane/gateway/server/client_connection.py
+++ b/orchidlane/gateway/server/client_connection.py
@@ -10,6 +10,8 @@
 if TYPE_CHECKING:  # the operators' platform has no hot restart and must not load its modules
     from orchidlane.hot_restart.messages import RespSessionState
 
+MAX_RECEIVE_BYTES = 16_384  # at once; a connection holds this much besides a request's head and body
+
 
 class ConnectionObserver(Protocol):
     """Is notified of each step of a connection, before a crash of this process could lose data of that step.
@@ -90,4 +92,4 @@
     """Notify the observer and receive bytes, which a crash of this process would lose."""
     stream.await_input(deadline)
     observer.read_started(number)
-    return stream.recv(deadline=deadline)
+    return stream.recv(MAX_RECEIVE_BYTES, deadline)
--- a/orchidlane/gateway/server/request_handler.py
+++ b/orchidlane/gateway/server/request_handler.py
@@ -14,7 +14,7 @@
 from orchidlane.gateway.forwarding.policy_driver import OutcomeCounter
 from orchidlane.gateway.forwarding.protocol_adapter import Call, ClientAdapter, ResourceLimits
 from orchidlane.gateway.forwarding.request_body import RequestBody
-from orchidlane.gateway.server.client_connection import ClientConnection
+from orchidlane.gateway.server.client_connection import MAX_RECEIVE_BYTES, ClientConnection
 from orchidlane.gateway.server.request_reader import ReaderState, RequestReader
 from orchidlane.gateway.server.response_writer import CONTINUE, ResponseWriter
 from orchidlane.http1 import ProtocolError, Request
@@ -93,6 +93,7 @@
             self._await_response(connection, request)
         except ProtocolError as error:
             server.policy_driver.client_disconnected(request)
+            request.body.discard()  # the error response may be delayed
             return self._reject_malformed(connection, error)
         except BaseException:
             server.policy_driver.client_disconnected(request)
@@ -179,7 +180,7 @@
                 raise ConnectionClosedError("the client closed the connection")
             connection.stream.wake_on_peer_close(request.task)
             return False
-        data = None if connection.stream.is_input_exhausted else connection.stream.try_recv()
+        data = None if connection.stream.is_input_exhausted else connection.stream.try_recv(MAX_RECEIVE_BYTES)
         if data is None:
             connection.stream.wake_on_input(request.task)
             return False
--- a/orchidlane/gateway/server/request_reader.py
+++ b/orchidlane/gateway/server/request_reader.py
@@ -7,7 +7,12 @@
 from orchidlane.gateway.forwarding.pending_request import PendingRequest
 from orchidlane.gateway.forwarding.protocol_adapter import Timeouts
 from orchidlane.gateway.forwarding.request_body import RequestBody
-from orchidlane.gateway.server.client_connection import ClientConnection, ConnectionObserver, receive_observed
+from orchidlane.gateway.server.client_connection import (
+    MAX_RECEIVE_BYTES,
+    ClientConnection,
+    ConnectionObserver,
+    receive_observed,
+)
 from orchidlane.gateway.server.waiting_connections import WaitingConnections
 from orchidlane.http1 import Data, End, ProtocolError, Request
 from orchidlane.runtime import ConnectionClosedError, DeadlineExceededError, EventLoop
@@ -89,7 +94,7 @@
         server = self._server
         deadline = server.loop.now() + timeout_us
         if server.observer is None or not connection.is_between_requests:
-            data = connection.stream.recv(deadline=deadline)
+            data = connection.stream.recv(MAX_RECEIVE_BYTES, deadline)
         else:
             data = receive_observed(connection.stream, server.observer, connection.number, deadline)
         self.feed_parser(connection, data)
--- a/orchidlane/http1/message_parser.py
+++ b/orchidlane/http1/message_parser.py
@@ -9,9 +9,9 @@
     BODY_UNTIL_CLOSE -> COMPLETE with the End event when the input ends (responses only)
     COMPLETE -> HEAD by ``next_message``; bytes of a pipelined message stay in the buffer until then
 
-After an error the parser stays in FAILED. It does not guess where the next message starts, as that would
-allow request smuggling (RFC 9112 section 11.2). A parser buffers no more than one head or one chunk line
-besides the bytes of the latest ``receive``.
+After an error the parser stays in FAILED and holds no input. It does not guess where the next message starts,
+as that would allow request smuggling (RFC 9112 section 11.2). A parser buffers no more than one head or one
+chunk line besides the bytes of the latest ``receive``.
 """
 
 from __future__ import annotations
@@ -89,6 +89,7 @@
             return self._READERS[self.state](self)
         except ProtocolError:
             self.state = ParserState.FAILED
+            self._buffer.clear()
             raise
 
     def next_message(self) -> None:
