--- a/orchidlane/http1/header_fields.py
+++ b/orchidlane/http1/header_fields.py
@@ -9,7 +9,7 @@
 Headers = tuple[tuple[bytes, bytes], ...]  # (lower-case name, value without surrounding whitespace), in order
 
 TOKEN = rb"[!#$%&'*+\-.^_`|~0-9A-Za-z]+"  # RFC 9110 section 5.6.2
-# The value includes the blanks around it. No part gives back what it has matched (possessive quantifiers), so that
+# The value includes the blanks around it. No part gives back what it has matched (possessive quantifiers):
 # the time to reject a line is proportional to its length.
 _FIELD_LINE = rb"(" + TOKEN + rb"+):([\t\x20-\x7e\x80-\xff]*+)"
 _BLANKS = b" \t"
