--- a/orchidlane/gateway/forwarding/endpoint_exchange.py
+++ b/orchidlane/gateway/forwarding/endpoint_exchange.py
@@ -6,7 +6,7 @@
 from orchidlane.gateway.forwarding.connection_pool import EndpointConnection
 from orchidlane.gateway.forwarding.pending_request import PendingRequest
 from orchidlane.http1 import End, Response
-from orchidlane.runtime import ConnectionClosedError, DeadlineExceededError, EventLoop
+from orchidlane.runtime import BACKGROUND, ConnectionClosedError, DeadlineExceededError, EventLoop
 
 WRITE_SLICE_US = 50_000  # a blocked write looks for an early response at this interval
 MAX_INTERIM_RESPONSES = 64  # before a final response; an endpoint that sends more is faulty
@@ -103,10 +103,12 @@
         raise http1.ProtocolError(502, "too many interim responses before the final response")
 
     def next_event(self) -> http1.Event:
-        """Read the next event of the response.
+        """Read the next event of the response; after many that have arrived together, others run first.
 
         Raises DeadlineExceededError, ConnectionClosedError, ProtocolError.
         """
+        if self.loop.yield_if_due(BACKGROUND) and self.loop.now() >= self.deadline:
+            raise DeadlineExceededError
         connection = self.connection
         parser = connection.parser
         while (event := parser.next_event()) is None:
--- a/orchidlane/gateway/server/request_handler.py
+++ b/orchidlane/gateway/server/request_handler.py
@@ -15,7 +15,7 @@
 from orchidlane.gateway.forwarding.protocol_adapter import Call, ClientAdapter, ResourceLimits
 from orchidlane.gateway.forwarding.request_body import RequestBody
 from orchidlane.gateway.server.client_connection import MAX_RECEIVE_BYTES, ClientConnection
-from orchidlane.gateway.server.request_reader import ReaderState, RequestReader
+from orchidlane.gateway.server.request_reader import BODY_TOOK_TOO_LONG, ReaderState, RequestReader
 from orchidlane.gateway.server.response_writer import CONTINUE, ResponseWriter
 from orchidlane.http1 import ProtocolError, Request
 from orchidlane.runtime import ConnectionClosedError, DeadlineExceededError
@@ -170,7 +170,7 @@
                 if request.response is None:
                     raise ConnectionClosedError("no response by the request's deadline") from None
             elif request.response is None:
-                raise ProtocolError(REQUEST_TIMEOUT, "the body took too long") from None
+                raise ProtocolError(REQUEST_TIMEOUT, BODY_TOOK_TOO_LONG) from None
 
     def _read_more(self, connection: ClientConnection, request: PendingRequest) -> bool:
         """Read input of the client; if there is none, return False, and new input wakes the task."""
@@ -220,7 +220,7 @@
         connection.parser.next_message()
         if connection.parser.pending_bytes:
             connection.unread_since_us = connection.last_received_at_us
-        server.loop.yield_if_due()
+            server.loop.yield_to_others()  # a client's pipelined requests are served one a turn
         return True
 
     def _is_last_response(self, connection: ClientConnection) -> bool:
--- a/orchidlane/gateway/server/request_reader.py
+++ b/orchidlane/gateway/server/request_reader.py
@@ -15,7 +15,9 @@
 )
 from orchidlane.gateway.server.waiting_connections import WaitingConnections
 from orchidlane.http1 import Data, End, ProtocolError, Request
-from orchidlane.runtime import ConnectionClosedError, DeadlineExceededError, EventLoop
+from orchidlane.runtime import BACKGROUND, ConnectionClosedError, DeadlineExceededError, EventLoop
+
+BODY_TOOK_TOO_LONG = "the body took too long"
 
 
 class ReaderState(Protocol):
@@ -118,21 +120,25 @@
         server = self._server
         deadline = self._head_deadline(connection)
         body = request.body
-        self.transfer(connection, body)
+        self.transfer(connection, body, deadline)
         while not body.is_complete:
             try:
                 if not self._receive(connection, deadline - server.loop.now()):
                     raise ConnectionClosedError("the client closed the connection")
             except DeadlineExceededError:
-                raise ProtocolError(408, "the body took too long") from None
-            self.transfer(connection, body)
+                raise ProtocolError(408, BODY_TOOK_TOO_LONG) from None
+            self.transfer(connection, body, deadline)
         request.arrived = connection.last_received_at_us
         request.deadline = request.arrived + request.call.timeout_us - server.timeouts.response_margin_us
         if server.shutdown_deadline is not None:
             request.deadline = min(request.deadline, server.shutdown_deadline)
 
-    def transfer(self, connection: ClientConnection, body: RequestBody) -> None:
-        """Move the data that the parser has of a body to ``body``."""
+    def transfer(self, connection: ClientConnection, body: RequestBody, deadline: int | None = None) -> None:
+        """Move the data that the parser has of a body to ``body``; if it is much, others run meanwhile.
+
+        Raises ProtocolError if the body is invalid, or not complete when the deadline passes meanwhile.
+        """
+        loop = self._server.loop
         while not body.is_complete or body.length == 0:
             event = connection.parser.next_event()
             if event is None:
@@ -142,3 +148,6 @@
                 return
             assert isinstance(event, Data)
             body.add(event.data)
+            has_yielded = loop.yield_if_due(BACKGROUND)
+            if has_yielded and deadline is not None and loop.now() >= deadline:
+                raise ProtocolError(408, BODY_TOOK_TOO_LONG)
--- a/orchidlane/http1/chunked_decoder.py
+++ b/orchidlane/http1/chunked_decoder.py
@@ -10,9 +10,14 @@
 from orchidlane.http1.input_buffer import take_bytes, take_line
 from orchidlane.http1.limits import ParserLimits
 
-_QUOTED_STRING = rb'"(?:[^"\\\x00-\x08\x0a-\x1f\x7f]|\\[\t\x20-\x7e\x80-\xff])*"'
-_EXTENSION = rb"[ \t]*;[ \t]*" + TOKEN + rb"(?:[ \t]*=[ \t]*(?:" + TOKEN + rb"|" + _QUOTED_STRING + rb"))?"
-_SIZE_LINE = re.compile(rb"([0-9A-Fa-f]{1,16})(?:" + _EXTENSION + rb")*[ \t]*")
+MAX_CHUNKS_PER_EVENT = 8  # bounds the time that one event takes
+
+# Possessive quantifiers bound the time that a line takes by its length
+_TOKEN = TOKEN + rb"+"
+_QUOTED_STRING = rb'"(?:[^"\\\x00-\x08\x0a-\x1f\x7f]++|\\[\t\x20-\x7e\x80-\xff])*+"'
+_EXTENSION_VALUE = rb"[ \t]*+=[ \t]*+(?:" + _TOKEN + rb"|" + _QUOTED_STRING + rb")"
+_EXTENSION = rb"[ \t]*+;[ \t]*+" + _TOKEN + rb"(?:" + _EXTENSION_VALUE + rb")?"
+_SIZE_LINE = re.compile(rb"([0-9A-Fa-f]{1,16})(?:" + _EXTENSION + rb")*+[ \t]*+")
 
 
 class ChunkedDecoder:
@@ -31,14 +36,15 @@
     def next_event(self) -> Data | End | None:
         """Return the next event, or None until the buffer holds more bytes.
 
-        Raises ProtocolError: 400 for invalid framing, 413 for a chunk or body over its limit, 431 for
-        trailers over their limits.
+        The data of small chunks that have arrived together is returned in one event. Raises ProtocolError:
+        400 for invalid framing, 413 for a chunk or body over its limit, 431 for trailers over their limits.
         """
-        if not self._chunk_remaining and not self._in_trailers and not self._start_chunk():
-            return None
-        if self._in_trailers:
-            return self._read_trailers()
-        return self._read_data()
+        pieces: list[bytes] = []
+        while len(pieces) < MAX_CHUNKS_PER_EVENT and (piece := self._read_data()):
+            pieces.append(piece)
+        if pieces:
+            return Data(b"".join(pieces))
+        return self._read_trailers() if self._in_trailers else None
 
     def _start_chunk(self) -> bool:
         """Read up to the next chunk's data or the trailers; return False if not all of that has arrived."""
@@ -58,13 +64,14 @@
         self._in_trailers = not size
         return True
 
-    def _read_data(self) -> Data | None:
+    def _read_data(self) -> bytes:
+        """Return the next bytes of one chunk, none before the trailers and where none have arrived."""
+        if self._in_trailers or not (self._chunk_remaining or self._start_chunk()):
+            return b""
         data = take_bytes(self._buffer, self._chunk_remaining)
-        if not data:
-            return None
         self._chunk_remaining -= len(data)
-        self._expects_data_crlf = not self._chunk_remaining
-        return Data(data)
+        self._expects_data_crlf = bool(data) and not self._chunk_remaining
+        return data
 
     def _read_data_crlf(self) -> bool:
         """Read the CRLF after a chunk's data; return False if it has not arrived."""
--- a/orchidlane/runtime/scheduler.py
+++ b/orchidlane/runtime/scheduler.py
@@ -193,27 +193,35 @@
     def _wake_sleeper(self, task: Task) -> None:
         self.wake(task)
 
-    def yield_to_others(self) -> None:
-        """Let all other ready tasks of the same priority run first. Raises Cancelled."""
+    def yield_to_others(self, priority: int | None = None) -> None:
+        """Let all other ready tasks of the same priority run first; with ``priority``, those of that one.
+
+        Raises Cancelled.
+        """
         task = self.current
         assert task is not None
-        task.is_parked = True
-        self.wake(task)
         task.operations_without_yield = 0
+        self._queues[task.priority if priority is None else priority].append((task, None))
         self._hub.switch()
         if task.is_cancelled or task.interruptions:
             self._raise_interruption(task)
 
-    def yield_if_due(self) -> None:
+    def yield_if_due(self, priority: int | None = None) -> bool:
         """Count an operation that did not wait; after many in a row, let other tasks run.
 
-        Raises Cancelled.
+        An operation takes about as long as a system call. Work whose amount a peer decides, such as parsing,
+        passes a lower ``priority``: then the tasks of all higher ones run first, and an iteration continues
+        no more such work than the budget of that priority, however many tasks have some. Return whether
+        other tasks ran. Raises Cancelled.
         """
         task = self.current
-        if task is not None:
-            task.operations_without_yield += 1
-            if task.operations_without_yield >= MAX_OPERATIONS_WITHOUT_YIELD:
-                self.yield_to_others()
+        if task is None:
+            return False
+        task.operations_without_yield += 1
+        if task.operations_without_yield < MAX_OPERATIONS_WITHOUT_YIELD:
+            return False
+        self.yield_to_others(priority)
+        return True
 
     # -- running
 
--- a/tests/test_shutdown_races.py
+++ b/tests/test_shutdown_races.py
@@ -115,6 +115,7 @@
         while data := client.recv(deadline=harness.loop.now() + 5 * SECOND):
             received += data
             send_more()
+            assert harness.loop.now() < server.shutdown_deadline + SECOND
         assert server.shutdown_deadline <= harness.loop.now() < server.shutdown_deadline + SECOND
         assert received.count(b"connection: close") == 1
         assert not server.connections
