--- a/orchidlane/platform/lifecycle.py
+++ b/orchidlane/platform/lifecycle.py
@@ -6,9 +6,9 @@
 has its response; ``shutdown.py`` has the times.
 
 By the platform's rules a gateway counts as notified of discovery's list from the moment it starts, but the
-list that it starts with may be old. So the gateway is ready once discovery has responded. If discovery
-doesn't respond, it becomes ready after the drain grace, the time that endpoints of an old list may take to
-drain and leave.
+list that it starts with may be old: endpoints in it may be draining. So nothing is forwarded before discovery
+has responded, and the gateway is ready then. If discovery doesn't respond, the gateway is ready after
+``READINESS_TIMEOUT_US`` nevertheless, as the platform demands, and rejects requests until it does.
 """
 
 from __future__ import annotations
@@ -48,6 +48,7 @@
 
 BIND_TIMEOUT_US = 8_000_000  # for an address that another process still uses; the platform allows 10 s
 FIRST_RESPONSE_TIMEOUT_US = 100_000  # the longest that clients wait at startup for discovery's response
+READINESS_TIMEOUT_US = 9_000_000  # without discovery; the platform allows 10 s from the start of the process
 RETRY_DELAY_US = 100_000
 REPORT_INTERVAL_US = 10_000_000
 MAX_WATCHES = 2  # the watch of the previous address continues until the new one has a response
@@ -79,7 +80,7 @@
         self._watch_tasks: list[Task] = []  # the newest last
         self._discovery_address: Address = configuration.discovery
         self._main_task: Task | None = None
-        self._ready_without_discovery_at = loop.now() + self.settings.drain_grace_us
+        self._ready_without_discovery_at = loop.now() + READINESS_TIMEOUT_US
         self._discovery_responded = False
         self._shutdown_times = ShutdownTimes(0, 0, 0)  # set by ``stop``
 
@@ -109,6 +110,7 @@
             int(permissions.max_requests_in_flight) or limits.resource_limits.max_connections,
             permissions.may_send_retry_after,
             self._is_ready,
+            lambda: self._discovery_responded,
         )
         gateway = Gateway(self.settings, self.configuration.seed, self.loop.now())
         endpoints = PlatformEndpointAdapter(self.tracker, self.settings.load_report_names)
--- a/orchidlane/platform/protocol_adapter.py
+++ b/orchidlane/platform/protocol_adapter.py
@@ -21,7 +21,8 @@
 class PlatformClientAdapter:
     """Parses requests, builds responses, and rejects a request whose identifier is already in flight.
 
-    Implements ``orchidlane.gateway.forwarding.protocol_adapter.ClientAdapter``.
+    As long as ``has_current_list`` is False, all requests are rejected: endpoints of an older list may be
+    draining. Implements ``orchidlane.gateway.forwarding.protocol_adapter.ClientAdapter``.
     """
 
     needs_complete_request = True
@@ -32,11 +33,13 @@
         max_requests_in_flight: int,
         may_send_retry_after: bool,
         is_ready: Callable[[], bool],
+        has_current_list: Callable[[], bool],
     ) -> None:
         self.parser = parser
         self.max_requests_in_flight = max_requests_in_flight
         self.may_send_retry_after = may_send_retry_after
         self.is_ready = is_ready
+        self.has_current_list = has_current_list
         self.in_flight: set[bytes] = set()
         self.response_counts: Counter[str] = Counter()  # final responses by result
 
@@ -53,6 +56,9 @@
             return self.invalid_request(error.status, error.detail)
         if call.request_id in self.in_flight:
             return self.invalid_request(409, "a request with this id is open")
+        if not self.has_current_list():
+            self.response_counts["no endpoint list"] += 1
+            return ClientResponse(UNAVAILABLE, [], b"", kind="refused")
         if in_flight >= self.max_requests_in_flight:
             return ClientResponse(UNAVAILABLE, [], b"", kind="refused")
         self.in_flight.add(call.request_id)
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -14,6 +14,7 @@
     call,
     configuration_file,
     instance,
+    serve_every_request,
     settings,
 )
 
@@ -25,6 +26,7 @@
 
 WITH_BACKENDS = pytest.mark.parametrize("backend", [PlatformHarness, RealPlatformHarness])
 DRAIN_GRACE_US = SECOND  # ``drainGrace`` in the settings of these tests
+MAX_READY_US = 10 * SECOND  # by the platform's rules, for nine in ten gateways
 READINESS_CHECK = b"GET /up HTTP/1.1\r\nHost: g\r\n\r\n"
 
 
@@ -296,17 +298,47 @@
     run(ConnectsDuringStartup, test)
 
 
-def test_with_silent_discovery_the_gateway_is_ready_after_the_drain_grace():
-    last_known_list = {"generation": 90, "reset": True, "instances": [instance(0)]}
+@pytest.mark.parametrize("outage_us", [200 * MS, 2 * SECOND, 8 * SECOND, 9_500 * MS, 30 * SECOND])
+@pytest.mark.parametrize("grace_us", [300 * MS, DRAIN_GRACE_US, 5 * SECOND])
+def test_a_gateway_that_starts_without_discovery_forwards_nothing_by_its_last_known_list(outage_us, grace_us):
+    """Guards against requests to endpoints that drained before a restart during an outage (review/10)."""
+    last_known_list = {"generation": 90, "reset": True, "instances": [instance(0), instance(1)]}
+    current_list = {"generation": 91, "reset": True, "instances": [instance(0, "leaving"), instance(1)]}
 
     class SilentDiscovery(PlatformHarness):
         def _start_gateway(self) -> None:
             self.discovery.responds = False
+            self.discovery.first_events = [current_list]
             super()._start_gateway()
 
     def test(harness: PlatformHarness) -> None:
-        assert harness.ask(READINESS_CHECK)[0] == 503
-        assert harness.ask(call())[0] == 200
-        harness.until(lambda: harness.ask(READINESS_CHECK)[0] == 200, DRAIN_GRACE_US)
+        started_at = harness.loop.now()
+        outage_end = started_at + outage_us
+        while harness.loop.now() < outage_end:
+            assert harness.ask(call())[0] == 503
+            is_ready = harness.ask(READINESS_CHECK)[0] == 200
+            assert is_ready == (harness.loop.now() >= harness.gateway._ready_without_discovery_at)
+            harness.loop.sleep(min(50 * MS, outage_end - harness.loop.now()))
+        assert not harness.seen
+        harness.discovery.responds = True
+        harness.until(lambda: harness.ask(call())[0] == 200, 2 * SECOND)
+        assert harness.ask(READINESS_CHECK)[0] == 200
+        for _ in range(50):
+            harness.ask(call())
+        assert {index for index, _ in harness.seen} == {1}
+
+    rules = {**settings()["rules"], "drainGrace": grace_us}
+    handlers = [serve_every_request] * 2
+    run(SilentDiscovery, test, *handlers, known=last_known_list, settings=settings(rules=rules))
+
+
+def test_without_discovery_the_gateway_is_ready_within_the_limit_of_the_platform():
+    class SilentDiscovery(PlatformHarness):
+        def _start_gateway(self) -> None:
+            self.discovery.responds = False
+            super()._start_gateway()
+
+    def test(harness: PlatformHarness) -> None:
+        harness.until(lambda: harness.ask(READINESS_CHECK)[0] == 200, MAX_READY_US)
 
-    run(SilentDiscovery, test, known=last_known_list, settings=settings())
+    run(SilentDiscovery, test)
