The endpoint list is split in time and memory proportional to its bytes, in turns

Cause: JsonObjectSplitter searched for the end of a string anew from each quote, copied the incomplete line with each piece and kept each line as an object, without counting line breaks.

Change: one buffer of which each line is read once; possessive quantifiers; a string without an end reaches to the end of its line. read_objects gives others turns after 32 batches of 8 lines, or pieces.

The two broken guards of the splitter replace its new methods and their tests fail with them as before.

--- a/orchidlane/gateway/control/json_stream.py
+++ b/orchidlane/gateway/control/json_stream.py
@@ -7,9 +7,11 @@
 
 from orchidlane import http1
 from orchidlane.http1 import Data, End, Response
-from orchidlane.runtime import ConnectionClosedError, ConnectionFailedError, EventLoop, Stream
+from orchidlane.runtime import PEERS, ConnectionClosedError, ConnectionFailedError, EventLoop, Stream
 
-JSON_STRING = re.compile(rb'"[^"\\]*(?:\\.[^"\\]*)*"')
+# A string, or an unterminated one to the end of its line; possessive quantifiers bound the time by the length
+JSON_STRING = re.compile(rb'"(?:[^"\\]++|\\.)*+"?')
+MAX_LINES_PER_BATCH = 8  # bounds the time that one batch takes
 
 
 class LineTooLongError(Exception):
@@ -20,40 +22,61 @@
     """Splits bytes into JSON objects, each on one line or indented over several lines. Does no I/O.
 
     A line that does not start an object is returned like an object, so that its parser reports the error.
+    An incomplete object is kept in one buffer, and each of its lines is read once.
     """
 
     def __init__(self, max_bytes: int) -> None:
         self.max_bytes = max_bytes
-        self._rest = b""
-        self._lines: list[bytes] = []  # the lines of an incomplete object
-        self._buffered_bytes = 0
+        self._buffer = bytearray()  # from the start of the incomplete object or line on
+        self._line_start = 0  # of the first line that has not been read
+        self._searched_bytes = 0  # no line ends between ``_line_start`` and this index
         self._depth = 0
 
-    def feed(self, data: bytes) -> list[bytes]:
-        """Return the objects that ``data`` completes, and ``b""`` for each blank line between objects.
+    def receive(self, data: bytes) -> None:
+        """Append input."""
+        self._buffer += data
 
-        Raises LineTooLongError.
+    def next_batch(self) -> list[bytes] | None:
+        """Return the objects that the next lines complete, and ``b""`` for each blank line between objects.
+
+        A batch has up to ``MAX_LINES_PER_BATCH`` lines. Return None if no complete line is left. Raises
+        LineTooLongError.
         """
-        *lines, self._rest = (self._rest + data).split(b"\n")
-        objects = [item for line in lines if (item := self._feed_line(line)) is not None]
-        if self._buffered_bytes + len(self._rest) > self.max_bytes:
-            raise LineTooLongError(f"over {self.max_bytes} bytes without the end of a line or object")
+        objects: list[bytes] = []
+        for line_count in range(MAX_LINES_PER_BATCH):
+            line_end = self._buffer.find(b"\n", self._searched_bytes)
+            if line_end < 0:
+                self._searched_bytes = len(self._buffer)
+                self._check_size()
+                return objects if line_count else None
+            item = self._read_line(line_end)
+            if item is not None:
+                objects.append(item)
         return objects
 
-    def _feed_line(self, line: bytes) -> bytes | None:
-        if not self._lines and not line.strip():
+    def _check_size(self) -> None:
+        if len(self._buffer) > self.max_bytes:
+            raise LineTooLongError(f"over {self.max_bytes} bytes without the end of a line or object")
+
+    def _read_line(self, line_end: int) -> bytes | None:
+        """Read one line; return the object that it completes, ``b""`` for a blank line between objects."""
+        line = bytes(memoryview(self._buffer)[self._line_start : line_end])
+        is_between_objects = not self._line_start
+        self._line_start = self._searched_bytes = line_end + 1
+        if is_between_objects and not line.strip():
+            self._remove_lines()
             return b""
         without_strings = JSON_STRING.sub(b"", line)  # a JSON string contains no line break
         self._depth += without_strings.count(b"{") - without_strings.count(b"}")
-        self._lines.append(line)
-        self._buffered_bytes += len(line)
-        if self._depth > 0:
-            return None
-        complete = b"\n".join(self._lines)
-        self._lines = []
-        self._buffered_bytes = 0
+        return None if self._depth > 0 else self._remove_lines()
+
+    def _remove_lines(self) -> bytes:
+        """Remove the lines that have been read from the buffer; return them without the last line break."""
+        lines = bytes(memoryview(self._buffer)[: self._line_start - 1])
+        del self._buffer[: self._line_start]
+        self._line_start = self._searched_bytes = 0
         self._depth = 0
-        return complete
+        return lines
 
 
 def read_objects(
@@ -62,8 +85,9 @@
     """Yield the objects that each piece of the response completes; first yield an empty list for the head.
 
     Blank lines are left out. An object or a blank line restarts the silence timeout; bytes that complete
-    neither don't. Raises ConnectionFailedError unless the status is 200, ConnectionClosedError at the end of
-    the response, DeadlineExceededError at the silence timeout, ProtocolError, LineTooLongError.
+    neither don't. After many lines or pieces other tasks run. Raises ConnectionFailedError unless the status
+    is 200, ConnectionClosedError at the end of the response, DeadlineExceededError at the silence timeout,
+    ProtocolError, LineTooLongError.
     """
     parser = http1.ResponseParser()
     splitter = JsonObjectSplitter(max_bytes)
@@ -82,8 +106,12 @@
             deadline = loop.now() + silence_timeout_us
             yield []
         elif isinstance(event, Data):
-            if items := splitter.feed(event.data):
-                deadline = loop.now() + silence_timeout_us
-                yield [item for item in items if item]
+            splitter.receive(event.data)
+            while (items := splitter.next_batch()) is not None:
+                if items:
+                    deadline = loop.now() + silence_timeout_us
+                    yield [item for item in items if item]
+                loop.yield_if_due(PEERS)
+            loop.yield_if_due(PEERS)
         elif isinstance(event, End):
             raise ConnectionClosedError("the endpoint list service ended its response")
--- a/tests/test_broken_guards.py
+++ b/tests/test_broken_guards.py
@@ -41,10 +41,19 @@
     return True
 
 
-def take_line_as_object(_splitter, line):
+def take_line_as_object(splitter, line_end):
+    splitter._line_start = line_end + 1
+    line = splitter._remove_lines()
     return line.strip() and line
 
 
+def count_any_bytes_as_message(splitter):
+    if not splitter._buffer:
+        return None
+    splitter._buffer.clear()
+    return [b""]
+
+
 def receive_without_checking_input(self, connection, timeout):
     return self._receive(connection, timeout)
 
@@ -181,14 +190,14 @@
     ),
     "any byte counts as a message": (
         JsonObjectSplitter,
-        "feed",
-        lambda *_: [b""],
+        "next_batch",
+        count_any_bytes_as_message,
         discovery.test_events_missed_by_a_broken_watch_arrive_by_their_deadline,
         (PlatformHarness, "trickles"),
     ),
     "each line counts as an object": (
         JsonObjectSplitter,
-        "_feed_line",
+        "_read_line",
         take_line_as_object,
         discovery.test_an_indented_list_is_applied,
         (PlatformHarness,),
--- a/tests/test_turns_of_others.py
+++ b/tests/test_turns_of_others.py
@@ -12,7 +12,7 @@
 from orchidlane.http1.chunked_decoder import MAX_CHUNKS_PER_EVENT, ChunkedDecoder
 from orchidlane.http1.request_parser import RequestParser
 from orchidlane.platform.resource_limits import MAX_BODY_BYTES
-from orchidlane.runtime import BACKGROUND, REQUESTS, EventLoop
+from orchidlane.runtime import BACKGROUND, PEERS, REQUESTS, EventLoop
 from orchidlane.runtime.scheduler import MAX_OPERATIONS_WITHOUT_YIELD, TASK_BUDGETS
 from orchidlane.runtime.simulated_backend import SimulatedBackend
 
@@ -88,6 +88,22 @@
     assert meter.most_in_an_iteration <= (1 + TASK_BUDGETS[BACKGROUND]) * (MAX_CHUNKS_PER_TURN + 1)
 
 
+@pytest.mark.parametrize("chunk", [b"1\r\n \r\n", b"1\r\n\n\r\n", b"2\r\n\n\n\r\n"])
+@pytest.mark.parametrize("start", [b"", b"1\r\n{\r\n"])
+def test_a_list_in_small_pieces_is_read_in_turns_with_others(monkeypatch, chunk, start):
+    meter = WorkMeter(monkeypatch, ChunkedDecoder, "_start_chunk")
+    chunk_count = 10_000
+
+    def test(harness) -> None:
+        meter.loop = harness.loop
+        harness.discovery.streams[0].send(start + chunk * chunk_count)
+        harness.loop.sleep(SECOND)
+        assert meter.calls >= chunk_count
+
+    PlatformHarness(serve_every_request).run(test)
+    assert meter.most_in_an_iteration <= (1 + TASK_BUDGETS[PEERS]) * (MAX_CHUNKS_PER_TURN + 1)
+
+
 def test_a_request_is_answered_before_the_bodies_in_small_chunks_that_came_before_it(monkeypatch):
     meter = WorkMeter(monkeypatch, ChunkedDecoder, "_start_chunk")
     client_count = 20
