Paths with several parameters match in linear time; malformed lists are reported

Cause: each parameter was tried at every length. Change: a parameter is as short as possible and is not tried again (atomic groups), which gives the same match. Also: a list with brackets nested 100,000 deep or a startedAtMs of 1e308 ended the discovery watch by an unhandled exception (RecursionError, OverflowError); it is an invalid line now.

A property test compares parameters with the old expression.

--- a/orchidlane/platform/discovery.py
+++ b/orchidlane/platform/discovery.py
@@ -88,7 +88,7 @@
         """Apply a line and return the policy event, or None if it is ignored. Raises WatchEventError."""
         try:
             event = msgspec.json.decode(line, type=DiscoveryEvent)
-        except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
             raise WatchEventError(f"the line is not a valid discovery event: {error}") from None
         return self.apply(event, policy.EndpointListKind.COMPLETE)
 
@@ -192,14 +192,17 @@
             )
         try:
             address = parse_address(instance.host_port) if state is not policy.EndpointState.GONE else None
+            started_at_us = int(instance.started_at_ms * 1_000)
         except ValueError as error:
             raise WatchEventError(f"instance with an invalid hostPort: {error}") from None
+        except OverflowError:
+            raise WatchEventError("instance with a startedAtMs that is out of range") from None
         entry = policy.EndpointEntry(
             endpoint=instance.instance_id.encode(),
             state=state,
             zone=self._zone_number(instance.zone or ""),
             cell=instance.cell or 0,
-            started_at_us=int(instance.started_at_ms * 1_000),
+            started_at_us=started_at_us,
             capacity_share=instance.weight,
         )
         return ResolvedEntry(entry, address)
--- a/orchidlane/routes/tree.py
+++ b/orchidlane/routes/tree.py
@@ -76,7 +76,7 @@
 
     def _pattern_child(self, node: _Node[Value], segment: str) -> _Node[Value]:
         literals = TEMPLATE.split(segment)[::2]
-        source = "(.+?)".join(re.escape(literal) for literal in literals)
+        source = _expression_source([re.escape(literal) for literal in literals])
         for pattern in node.patterns:
             if pattern.source == source:
                 return pattern.node
@@ -95,6 +95,17 @@
         return node.value, dict(zip(node.names, search.parameters, strict=True))
 
 
+def _expression_source(literals: list[str]) -> str:
+    """Return the regular expression of a segment with a parameter between each two of these escaped literals.
+
+    Each parameter is as short as possible, which never prevents a later one from matching. So no parameter is
+    tried again (atomic groups), and the time of a match is proportional to the segment's length.
+    """
+    first, *middle, last = literals
+    parameters = "".join(f"(?>(.+?){literal})" for literal in middle)
+    return f"{first}{parameters}(.+){last}"
+
+
 class _Search(Generic[Value]):
     """The state of one search: the parameters matched so far, and the number of nodes it may still visit."""
 
--- a/tests/test_platform_discovery.py
+++ b/tests/test_platform_discovery.py
@@ -50,6 +50,8 @@
         b'{"generation":1,"reset":true}',
         json.dumps({"generation": 1, "reset": True, "instances": [instance(1, "odd")]}).encode(),
         json.dumps({"generation": 1, "reset": True, "instances": [instance(1, port=99999)]}).encode(),
+        json.dumps({"generation": 1, "reset": True, "instances": [instance(1, startedAtMs=1e308)]}).encode(),
+        b'{"generation":1,"reset":true,"instances":[],"x":' + b"[" * 100_000,
     ],
 )
 def test_an_invalid_line_is_rejected(line):
--- a/tests/test_routes.py
+++ b/tests/test_routes.py
@@ -7,6 +7,7 @@
 from pathlib import Path
 
 import pytest
+from harness.cost import cost_ratio
 from hypothesis import given
 from hypothesis import strategies as st
 
@@ -162,3 +163,28 @@
     assert routes.canonical_path(path.encode("latin-1")) == path
     assert "/./" not in path
     assert "/../" not in path
+
+
+@pytest.mark.parametrize("unit", ["a", "-", "a-", "a.", "a-b."])
+@pytest.mark.parametrize("end", ["", "-x.json", ".json!", "-x"])
+def test_a_segment_with_several_parameters_costs_time_in_proportion_to_its_length(unit, end):
+    """Guards against paths that take processor time out of proportion to their length."""
+    tree: routes.Tree[int] = routes.Tree()
+    tree.add("/{a}-{b}.{c}.json", 1)
+
+    def path(length: int) -> str:
+        return "/" + (unit * length)[:length] + end
+
+    assert cost_ratio(tree.match, path(500), path(8_000)) <= 48  # proportional: 16, quadratic: 256
+
+
+@given(
+    st.sampled_from(["{a}-{b}", "x{a}-{b}.{c}", "{a}{b}", "{a}--{b}-x", "{a}.{b}.{c}y"]),
+    st.text("ax-.y", max_size=12),
+)
+def test_parameters_of_a_segment_are_as_short_as_possible(template, segment):
+    tree: routes.Tree[int] = routes.Tree()
+    tree.add(f"/{template}", 1)
+    expected = re.fullmatch(re.sub(r"\\{(\w)\\}", r"(?P<\1>.+?)", re.escape(template)), segment)
+    match = tree.match(f"/{segment}")
+    assert (match and match[1]) == (expected and expected.groupdict())
