--- a/orchidlane/gateway/control/json_stream.py
+++ b/orchidlane/gateway/control/json_stream.py
@@ -36,23 +36,26 @@
         """Append input."""
         self._buffer += data
 
-    def next_batch(self) -> list[bytes] | None:
-        """Return the objects that the next lines complete, and ``b""`` for each blank line between objects.
+    def batches(self) -> Iterator[list[bytes]]:
+        """Yield the objects that the received lines complete, ``b""`` for each blank line between objects.
 
-        A batch has up to ``MAX_LINES_PER_BATCH`` lines. Return None if no complete line is left. Raises
+        A batch has the objects of up to ``MAX_LINES_PER_BATCH`` lines; the last one may be empty. Raises
         LineTooLongError.
         """
         objects: list[bytes] = []
-        for line_count in range(MAX_LINES_PER_BATCH):
-            line_end = self._buffer.find(b"\n", self._searched_bytes)
-            if line_end < 0:
-                self._searched_bytes = len(self._buffer)
-                self._check_size()
-                return objects if line_count else None
+        line_count = 0
+        while (line_end := self._buffer.find(b"\n", self._searched_bytes)) >= 0:
             item = self._read_line(line_end)
             if item is not None:
                 objects.append(item)
-        return objects
+            line_count += 1
+            if line_count == MAX_LINES_PER_BATCH:
+                yield objects
+                objects = []
+                line_count = 0
+        self._searched_bytes = len(self._buffer)
+        self._check_size()
+        yield objects
 
     def _check_size(self) -> None:
         if len(self._buffer) > self.max_bytes:
@@ -107,11 +110,10 @@
             yield []
         elif isinstance(event, Data):
             splitter.receive(event.data)
-            while (items := splitter.next_batch()) is not None:
+            for items in splitter.batches():
                 if items:
                     deadline = loop.now() + silence_timeout_us
                     yield [item for item in items if item]
                 loop.yield_if_due(PEERS)
-            loop.yield_if_due(PEERS)
         elif isinstance(event, End):
             raise ConnectionClosedError("the endpoint list service ended its response")
--- a/orchidlane/gateway/forwarding/endpoint_exchange.py
+++ b/orchidlane/gateway/forwarding/endpoint_exchange.py
@@ -107,8 +107,7 @@
 
         Raises DeadlineExceededError, ConnectionClosedError, ProtocolError.
         """
-        if self.loop.yield_if_due(BACKGROUND) and self.loop.now() >= self.deadline:
-            raise DeadlineExceededError
+        self.loop.yield_if_due(BACKGROUND, self.deadline)
         connection = self.connection
         parser = connection.parser
         while (event := parser.next_event()) is None:
--- a/orchidlane/gateway/server/request_handler.py
+++ b/orchidlane/gateway/server/request_handler.py
@@ -15,13 +15,17 @@
 from orchidlane.gateway.forwarding.protocol_adapter import Call, ClientAdapter, ResourceLimits
 from orchidlane.gateway.forwarding.request_body import RequestBody
 from orchidlane.gateway.server.client_connection import MAX_RECEIVE_BYTES, ClientConnection
-from orchidlane.gateway.server.request_reader import BODY_TOOK_TOO_LONG, ReaderState, RequestReader
+from orchidlane.gateway.server.request_reader import (
+    BODY_TOOK_TOO_LONG,
+    REQUEST_TIMEOUT,
+    ReaderState,
+    RequestReader,
+)
 from orchidlane.gateway.server.response_writer import CONTINUE, ResponseWriter
 from orchidlane.http1 import ProtocolError, Request
 from orchidlane.runtime import ConnectionClosedError, DeadlineExceededError
 
 DECISION_GRACE_US = 5_000  # how long after a request's deadline to wait for the policy's decision
-REQUEST_TIMEOUT = 408
 
 
 class RequestDriver(Protocol):
--- a/orchidlane/gateway/server/request_reader.py
+++ b/orchidlane/gateway/server/request_reader.py
@@ -17,6 +17,7 @@
 from orchidlane.http1 import Data, End, ProtocolError, Request
 from orchidlane.runtime import BACKGROUND, ConnectionClosedError, DeadlineExceededError, EventLoop
 
+REQUEST_TIMEOUT = 408  # status (RFC 9110 section 15.5.9)
 BODY_TOOK_TOO_LONG = "the body took too long"
 
 
@@ -58,7 +59,7 @@
                     parser.next_event()  # raises ProtocolError for a truncated head
                     return None
             except DeadlineExceededError:
-                raise ProtocolError(408, "the head took too long") from None
+                raise ProtocolError(REQUEST_TIMEOUT, "the head took too long") from None
         assert isinstance(event, Request)
         return event
 
@@ -120,14 +121,14 @@
         server = self._server
         deadline = self._head_deadline(connection)
         body = request.body
-        self.transfer(connection, body, deadline)
-        while not body.is_complete:
-            try:
+        try:
+            self.transfer(connection, body, deadline)
+            while not body.is_complete:
                 if not self._receive(connection, deadline - server.loop.now()):
                     raise ConnectionClosedError("the client closed the connection")
-            except DeadlineExceededError:
-                raise ProtocolError(408, BODY_TOOK_TOO_LONG) from None
-            self.transfer(connection, body, deadline)
+                self.transfer(connection, body, deadline)
+        except DeadlineExceededError:
+            raise ProtocolError(REQUEST_TIMEOUT, BODY_TOOK_TOO_LONG) from None
         request.arrived = connection.last_received_at_us
         request.deadline = request.arrived + request.call.timeout_us - server.timeouts.response_margin_us
         if server.shutdown_deadline is not None:
@@ -136,9 +137,8 @@
     def transfer(self, connection: ClientConnection, body: RequestBody, deadline: int | None = None) -> None:
         """Move the data that the parser has of a body to ``body``; if it is much, others run meanwhile.
 
-        Raises ProtocolError if the body is invalid, or not complete when the deadline passes meanwhile.
+        Raises ProtocolError, and DeadlineExceededError if the deadline passes while others run.
         """
-        loop = self._server.loop
         while not body.is_complete or body.length == 0:
             event = connection.parser.next_event()
             if event is None:
@@ -148,6 +148,4 @@
                 return
             assert isinstance(event, Data)
             body.add(event.data)
-            has_yielded = loop.yield_if_due(BACKGROUND)
-            if has_yielded and deadline is not None and loop.now() >= deadline:
-                raise ProtocolError(408, BODY_TOOK_TOO_LONG)
+            self._server.loop.yield_if_due(BACKGROUND, deadline)
--- a/orchidlane/platform/discovery.py
+++ b/orchidlane/platform/discovery.py
@@ -192,17 +192,14 @@
             )
         try:
             address = parse_address(instance.host_port) if state is not policy.EndpointState.GONE else None
-            started_at_us = int(instance.started_at_ms * 1_000)
         except ValueError as error:
             raise WatchEventError(f"instance with an invalid hostPort: {error}") from None
-        except OverflowError:
-            raise WatchEventError("instance with a startedAtMs that is out of range") from None
         entry = policy.EndpointEntry(
             endpoint=instance.instance_id.encode(),
             state=state,
             zone=self._zone_number(instance.zone or ""),
             cell=instance.cell or 0,
-            started_at_us=started_at_us,
+            started_at_us=_started_at_us(instance),
             capacity_share=instance.weight,
         )
         return ResolvedEntry(entry, address)
@@ -220,6 +217,14 @@
         return number
 
 
+def _started_at_us(instance: Instance) -> int:
+    """Return the start time in microseconds since the Unix epoch. Raises WatchEventError."""
+    try:
+        return int(instance.started_at_ms * 1_000)
+    except OverflowError:
+        raise WatchEventError("instance with a startedAtMs that is out of range") from None
+
+
 def _policy_event(
     kind: policy.EndpointListKind, generation: int, entries: list[ResolvedEntry]
 ) -> policy.EndpointListReceived:
--- a/orchidlane/platform/protocol_adapter.py
+++ b/orchidlane/platform/protocol_adapter.py
@@ -57,13 +57,16 @@
         if call.request_id in self.in_flight:
             return self.invalid_request(409, "a request with this id is open")
         if not self.has_current_list():
-            self.response_counts["no endpoint list"] += 1
-            return ClientResponse(UNAVAILABLE, [], b"", kind="refused")
+            return self._unavailable("no endpoint list")
         if in_flight >= self.max_requests_in_flight:
-            return ClientResponse(UNAVAILABLE, [], b"", kind="refused")
+            return self._unavailable("too many in flight")
         self.in_flight.add(call.request_id)
         return call
 
+    def _unavailable(self, reason: str) -> ClientResponse:
+        self.response_counts[reason] += 1
+        return ClientResponse(UNAVAILABLE, [], b"", kind="refused")
+
     def invalid_request(self, status: int, detail: str) -> ClientResponse:
         """Return the response to a request that is not valid."""
         self.response_counts["invalid"] += 1
--- a/orchidlane/runtime/scheduler.py
+++ b/orchidlane/runtime/scheduler.py
@@ -206,22 +206,23 @@
         if task.is_cancelled or task.interruptions:
             self._raise_interruption(task)
 
-    def yield_if_due(self, priority: int | None = None) -> bool:
+    def yield_if_due(self, priority: int | None = None, deadline: int | None = None) -> None:
         """Count an operation that did not wait; after many in a row, let other tasks run.
 
         An operation takes about as long as a system call. Work whose amount a peer decides, such as parsing,
         passes a lower ``priority``: then the tasks of all higher ones run first, and an iteration continues
-        no more such work than the budget of that priority, however many tasks have some. Return whether
-        other tasks ran. Raises Cancelled.
+        no more such work than the budget of that priority, however many tasks have some. Raises Cancelled,
+        and DeadlineExceededError if the deadline has passed once the others have run.
         """
         task = self.current
         if task is None:
-            return False
+            return
         task.operations_without_yield += 1
         if task.operations_without_yield < MAX_OPERATIONS_WITHOUT_YIELD:
-            return False
+            return
         self.yield_to_others(priority)
-        return True
+        if deadline is not None and self.now() >= deadline:
+            raise DeadlineExceededError
 
     # -- running
 
--- a/orchidlane/runtime/tasks.py
+++ b/orchidlane/runtime/tasks.py
@@ -95,10 +95,10 @@
     def wake(self, task: Task, value: Any = None) -> None:
         """Resume a parked task, whose ``park`` returns ``value``."""
 
-    def yield_if_due(self, priority: int | None = None) -> bool:
+    def yield_if_due(self, priority: int | None = None, deadline: int | None = None) -> None:
         """Count an operation that did not wait; after many in a row, let other tasks run.
 
-        With ``priority``, tasks down to that priority run. Return whether they did. Raises Cancelled.
+        With ``priority``, tasks down to that priority run. Raises Cancelled, DeadlineExceededError.
         """
 
     def call_at(self, when: int, call: Callable[[Any], None], argument: Any = None) -> Any:
--- a/tests/harness/platform_harness.py
+++ b/tests/harness/platform_harness.py
@@ -279,6 +279,11 @@
         stream.send(OK)
 
 
+def chunked_call() -> bytes:
+    """Return the head of a client's request with a chunked body."""
+    return call("put").replace(b"Content-Length: 0", b"Transfer-Encoding: chunked")
+
+
 def call(
     class_name: str = "read",
     *,
--- a/tests/test_broken_guards.py
+++ b/tests/test_broken_guards.py
@@ -48,10 +48,8 @@
 
 
 def count_any_bytes_as_message(splitter):
-    if not splitter._buffer:
-        return None
     splitter._buffer.clear()
-    return [b""]
+    yield [b""]
 
 
 def receive_without_checking_input(self, connection, timeout):
@@ -190,7 +188,7 @@
     ),
     "any byte counts as a message": (
         JsonObjectSplitter,
-        "next_batch",
+        "batches",
         count_any_bytes_as_message,
         discovery.test_events_missed_by_a_broken_watch_arrive_by_their_deadline,
         (PlatformHarness, "trickles"),
--- a/tests/test_json_stream.py
+++ b/tests/test_json_stream.py
@@ -23,7 +23,7 @@
 def feed(splitter: JsonObjectSplitter, data: bytes) -> list[bytes]:
     """Return all objects that ``data`` completes."""
     splitter.receive(data)
-    return [item for batch in iter(splitter.next_batch, None) for item in batch]
+    return [item for batch in splitter.batches() for item in batch]
 
 
 @given(
--- a/tests/test_memory_of_bodies.py
+++ b/tests/test_memory_of_bodies.py
@@ -3,7 +3,7 @@
 
 import pytest
 from harness.constants import MS
-from harness.platform_harness import PlatformHarness, call, serve_every_request
+from harness.platform_harness import PlatformHarness, call, chunked_call, serve_every_request
 
 from orchidlane.gateway.forwarding.request_body import RequestBody
 from orchidlane.gateway.server.client_connection import MAX_RECEIVE_BYTES
@@ -23,10 +23,6 @@
     return b"".join([b"%x\r\n%s\r\n" % (len(piece), piece) for piece in pieces])
 
 
-def chunked_call() -> bytes:
-    return call("put", body=b"").replace(b"Content-Length: 0", b"Transfer-Encoding: chunked")
-
-
 def send_bodies(harness, body: bytes) -> None:
     """Send a request with a chunked body on each of several connections at once, and wait."""
     for stream in [harness.connect() for _ in range(CLIENTS)]:
--- a/tests/test_turns_of_others.py
+++ b/tests/test_turns_of_others.py
@@ -3,7 +3,13 @@
 
 import pytest
 from harness.constants import MS, SECOND
-from harness.platform_harness import PlatformHarness, RealPlatformHarness, call, serve_every_request
+from harness.platform_harness import (
+    PlatformHarness,
+    RealPlatformHarness,
+    call,
+    chunked_call,
+    serve_every_request,
+)
 
 from orchidlane.gateway.forwarding.request_body import RequestBody
 from orchidlane.gateway.server.client_connection import ClientConnection
@@ -48,10 +54,6 @@
         self.most_in_an_iteration = max(self.most_in_an_iteration, self._calls_in_iteration)
 
 
-def chunked_call() -> bytes:
-    return call("put").replace(b"Content-Length: 0", b"Transfer-Encoding: chunked")
-
-
 @pytest.mark.parametrize("client_count", [1, 3, 20])
 def test_bodies_in_small_chunks_are_parsed_in_turns_with_others(monkeypatch, client_count):
     meter = WorkMeter(monkeypatch, ChunkedDecoder, "_start_chunk")
@@ -130,20 +132,25 @@
 )
 def test_a_body_whose_turns_last_past_its_deadline_is_rejected(chunk_count, is_rejected):
     loop = EventLoop(SimulatedBackend(1))
-    reader = RequestReader(SimpleNamespace(loop=loop))
+    timeouts = SimpleNamespace(request_head_us=0, response_margin_us=0)
+    reader = RequestReader(SimpleNamespace(loop=loop, timeouts=timeouts, shutdown_deadline=None))
     connection = ClientConnection(None, ParserLimits(), loop.now(), 1)
-    connection.parser.receive(chunked_call() + b"1\r\nx\r\n" * chunk_count)
+    connection.has_sent_request = True
+    connection.parser.receive(chunked_call() + b"1\r\nx\r\n" * chunk_count + b"0\r\n\r\n")
+    body = RequestBody(loop, MAX_BODY_BYTES, None)
+    request = SimpleNamespace(body=body, call=SimpleNamespace(timeout_us=SECOND))
     statuses = []
 
     def read_body() -> None:
         connection.parser.next_event()
         try:
-            reader.transfer(connection, RequestBody(loop, MAX_BODY_BYTES, None), loop.now())
+            reader.read_complete(connection, request)
         except ProtocolError as error:
             statuses.append(error.status)
 
     loop.run(read_body)
     assert statuses == ([408] if is_rejected else [])
+    assert body.is_complete is not is_rejected
 
 
 def test_pipelined_requests_share_the_budget_of_an_iteration(monkeypatch):
